--- /dev/null
+++ b/crates/asterdale-simhost/src/facts.rs
@@ -0,0 +1,103 @@
+//! The settings of `power_on`: a JSON object, of which unknown keys are passed over and absent ones are zero.
+
+use asterdale::told::{Below, CustomerFacts, FreeValue, Halt, Repeat, StageFacts, Told};
+use serde_json::Value;
+
+fn number(value: &Value) -> f64 {
+    value.as_f64().unwrap_or(0.0)
+}
+
+fn ms(value: &Value) -> f64 {
+    number(value) / 1e6
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// Reads the settings, and the order in which the gauges will come.
+pub fn read(seed: u64, text: &[u8]) -> Result<(Told, Vec<String>), serde_json::Error> {
+    let all: Value = serde_json::from_slice(text)?;
+    let (extra, rules, limits) = (&all["extra"], &all["guarantees"], &all["limits"]);
+    let without = list(&extra["worthWithout"]);
+    let stages = list(&all["lanes"]).iter().enumerate().map(|(n, lane)| StageFacts {
+        due_ms: ms(&lane["objectiveNs"]),
+        limit_ms: ms(&lane["deadlineNs"]),
+        utility: number(&lane["worth"]),
+        late_share: number(&lane["lateShare"]),
+        without_call: without.get(n).map_or(0.0, number),
+        repeat: match lane["repeat"].as_str() {
+            Some("repeatable") => Repeat::Restartable,
+            Some("by_key") => Repeat::Fingerprinted,
+            _ => Repeat::SideEffecting,
+        },
+        memory_ms: ms(&lane["memorySpanNs"]),
+    });
+    let customers = list(&all["tenants"]).iter().map(|tenant| CustomerFacts {
+        allowance_per_s: number(&tenant["allowancePerS"]),
+        portion: number(&tenant["portion"]),
+    });
+    let told = Told {
+        seed,
+        cores: number(&extra["cores"]),
+        memory_kb: number(&extra["memoryKb"]),
+        run_blowup: number(&extra["blowup"]),
+        entry_kb: number(&extra["entryKb"]),
+        cold: extra["cold"].as_bool().unwrap_or(false),
+        cold_share: number(&rules["startCapacity"]),
+        cold_ms: ms(&rules["coldNs"]),
+        crowd_factor: number(&rules["overloadFactor"]),
+        tick_ms: ms(&all["tickNs"]),
+        drain_grace_ms: ms(&rules["drainGraceNs"]),
+        servers: number(&all["servers"]),
+        callers: number(&extra["upstreams"]),
+        below: match extra["below"].as_str() {
+            Some("shared") => Below::Shared,
+            Some("tier") => Below::Tier,
+            _ => Below::Nothing,
+        },
+        calls_share: number(&extra["callsOut"]),
+        calls_window_ms: ms(&extra["depWindowNs"]),
+        linger_ms: ms(&extra["lingersNs"]),
+        fresh_ms: ms(&extra["freshForNs"]),
+        halt: match extra["halt"].as_str() {
+            Some("drop") => Halt::Drop,
+            Some("pause") => Halt::Pause,
+            _ => Halt::Never,
+        },
+        free_value: match extra["say"].as_str() {
+            Some("level") => FreeValue::Level,
+            Some("credit") => FreeValue::Credit,
+            Some("weight") => FreeValue::Weight,
+            _ => FreeValue::Unused,
+        },
+        advice_ms: if limits["retryAfter"].as_bool() == Some(true) {
+            ms(&limits["maxRetryAfterNs"])
+        } else {
+            0.0
+        },
+        over_share_worth: all["overShareWorth"].as_f64().unwrap_or(1.0),
+        by_work: all["worthBy"].as_str() == Some("work"),
+        stages: stages.collect(),
+        customers: customers.collect(),
+    };
+    let gauges = list(&extra["ownStats"]).iter().map(|name| name.as_str().unwrap_or("").to_owned());
+    Ok((told, gauges.collect()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unknown_keys_are_passed_over_and_absent_ones_are_zero() {
+        let text = br#"{"new": [1, {"a": null}], "extra": {"cores": 6, "below": "shared", "ownStats": ["core_use"]},
+            "lanes": [{"repeat": "by_key", "objectiveNs": 2500000, "worth": 3.0}]}"#;
+        let (told, gauges) = read(7, text).unwrap();
+        assert_eq!((told.seed, told.cores, told.memory_kb), (7, 6.0, 0.0));
+        assert_eq!((told.below, told.halt), (Below::Shared, Halt::Never));
+        assert_eq!((told.stages[0].due_ms, told.stages[0].repeat), (2.5, Repeat::Fingerprinted));
+        assert_eq!(gauges, ["core_use"]);
+        assert!(read(7, b"{").is_err());
+    }
+}
--- /dev/null
+++ b/crates/asterdale/src/lib.rs
@@ -0,0 +1,11 @@
+//! Admission and scheduling decisions for one server behind balancers that it does not control.
+//!
+//! [`decide`] holds every decision. It is told what it needs at the start ([`told`]), hears what happens
+//! through method calls, and answers through the [`machine::Machine`] trait. It does no I/O and reads no clock.
+
+pub mod decide;
+pub mod machine;
+pub mod told;
+
+pub use decide::{Handle, Server};
+pub use machine::Machine;
