--- a/crates/asterdale-simhost/src/facts.rs
+++ b/crates/asterdale-simhost/src/facts.rs
@@ -91,7 +91,8 @@
 
     #[test]
     fn unknown_keys_are_passed_over_and_absent_ones_are_zero() {
-        let text = br#"{"new": [1, {"a": null}], "extra": {"cores": 6, "below": "shared", "ownStats": ["core_use"]},
+        let text =
+            br#"{"new": [1, {"a": null}], "extra": {"cores": 6, "below": "shared", "ownStats": ["core_use"]},
             "lanes": [{"repeat": "by_key", "objectiveNs": 2500000, "worth": 3.0}]}"#;
         let (told, gauges) = read(7, text).unwrap();
         assert_eq!((told.seed, told.cores, told.memory_kb), (7, 6.0, 0.0));
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -5,7 +5,9 @@
 //! `Machine::wake`. Answers go out through `Machine` (machine.rs); the plain types are in told.rs. Times are ms.
 
 use crate::machine::Machine;
-use crate::told::{Arrival, Below, CustomerFacts, FreeValue, Gauges, Halt, Outcome, Repeat, StageFacts, Told};
+use crate::told::{
+    Arrival, Below, CustomerFacts, FreeValue, Gauges, Halt, Outcome, Repeat, StageFacts, Told,
+};
 
 #[cfg(test)]
 mod tests;
@@ -27,13 +29,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Task {
     state: State,
-    answered: bool,     // the final answer is out, or nobody waits for one
-    ran: bool,          // it was started: a task that may not run twice is no longer rejected
-    calm: bool,         // never more than the floor ran beside it
+    answered: bool, // the final answer is out, or nobody waits for one
+    ran: bool,      // it was started: a task that may not run twice is no longer rejected
+    calm: bool,     // never more than the floor ran beside it
     asked: Arrival,
     arrived: f64,
-    due: f64,           // by then it must have its final answer
-    aim: f64,           // the time by which its answer earns full utility
+    due: f64, // by then it must have its final answer
+    aim: f64, // the time by which its answer earns full utility
     started: f64,
     waited: f64,        // call waits so far, which are not run time
     since: f64,         // when it was last parked or its call went out
@@ -216,7 +218,11 @@
     /// The part of its speed that a server has at least, by the ramp it is guaranteed.
     fn warmth(&self, now: f64) -> f64 {
         let ramp = if self.told.cold_ms > 0.0 { (now - self.born) / self.told.cold_ms } else { 1.0 };
-        if self.told.cold { (self.told.cold_share + (1.0 - self.told.cold_share) * ramp).min(1.0) } else { 1.0 }
+        if self.told.cold {
+            (self.told.cold_share + (1.0 - self.told.cold_share) * ramp).min(1.0)
+        } else {
+            1.0
+        }
     }
 
     /// Tasks that may be running or at a call: all of them could come back to the cores at once. Four fifths of
@@ -326,7 +332,11 @@
         let Some(c) = self.customers.get(customer) else { return 1.0 };
         let rate = c.read.iter().sum::<f64>() / (WINDOWS as f64 * UPDATE / 1000.0);
         let due = c.facts.allowance_per_s / self.told.servers.max(1.0);
-        if rate <= due { 1.0 } else { (due + (rate - due) * self.told.over_share_worth) / rate }
+        if rate <= due {
+            1.0
+        } else {
+            (due + (rate - due) * self.told.over_share_worth) / rate
+        }
     }
 
     /// Utility that can still be had, for each unit of core work.
@@ -387,8 +397,20 @@
             due = due.min(stop);
         }
         let task = Task {
-            state: State::Held, answered: false, ran: false, calm: false, asked, arrived, due, aim, started: now,
-            waited: 0.0, since: now, not_before: now, tries: 0, entry: None,
+            state: State::Held,
+            answered: false,
+            ran: false,
+            calm: false,
+            asked,
+            arrived,
+            due,
+            aim,
+            started: now,
+            waited: 0.0,
+            since: now,
+            not_before: now,
+            tries: 0,
+            entry: None,
         };
         let n = self.free.pop().unwrap_or(self.tasks.len() as u32);
         if n as usize == self.tasks.len() {
@@ -476,7 +498,8 @@
     fn hopeless(&self, task: &Task, now: f64) -> bool {
         let end = now + self.expected(task);
         let facts = &self.stages[task.asked.stage].facts;
-        now >= task.due || (self.running > 0 && (end > task.due || (end > task.aim && facts.late_share <= 0.0)))
+        now >= task.due
+            || (self.running > 0 && (end > task.due || (end > task.aim && facts.late_share <= 0.0)))
     }
 
     /// Moves a task, keeping the counts and the memory.
@@ -552,7 +575,11 @@
         let own = self.warmth(now) < 1.0 || self.pace > 2.0;
         // Jitter keeps callers from coming back together.
         let stay = most * (0.5 + 0.5 * self.random());
-        if own { (false, stay) } else { (true, 0.3 * stay) }
+        if own {
+            (false, stay)
+        } else {
+            (true, 0.3 * stay)
+        }
     }
 
     // ---- Time ----
