--- a/crates/asterdale-simhost/src/facts.rs
+++ b/crates/asterdale-simhost/src/facts.rs
@@ -1,4 +1,5 @@
-//! The settings of `power_on`: a JSON object, of which unknown keys are passed over and absent ones are zero.
+//! The settings of `power_on`: a JSON object, of which unknown keys are passed over and absent ones are
+//! zero.
 
 use asterdale::told::{Below, CustomerFacts, FreeValue, Halt, Repeat, StageFacts, Told};
 use serde_json::Value;
--- a/crates/asterdale-simhost/src/host.rs
+++ b/crates/asterdale-simhost/src/host.rs
@@ -240,7 +240,7 @@
         9 => {
             let how = outcome(record.u16(13))?;
             if let Some(task) = known {
-                task.run_over(server, now, how, record.ms(5), &mut Writer { names, reply });
+                task.run_over(server, now, how, &mut Writer { names, reply });
             }
         }
         10 => {
--- a/crates/asterdale-simhost/src/main.rs
+++ b/crates/asterdale-simhost/src/main.rs
@@ -1,4 +1,5 @@
-//! Hosts asterdale's decisions on the simulator's wire: batches on standard input, replies on standard output.
+//! Hosts asterdale's decisions on the simulator's wire: batches on standard input, replies on standard
+//! output.
 
 mod facts;
 mod host;
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -1,1 +1,331 @@
+use super::*;
 
+mod support;
+use support::*;
+
+#[test]
+fn the_limit_starts_at_the_cores_and_doubles_with_room_before_a_base() {
+    let mut s = server(told());
+    assert_eq!(s.limit, 6.0);
+    s.busiest = [20.0; 2];
+    s.update(500.0);
+    assert_eq!(s.limit, 12.0 + 12f64.sqrt());
+}
+
+#[test]
+fn with_room_the_limit_grows_to_twice_what_was_tried_and_never_falls() {
+    let mut s = server(told());
+    s.update(500.0);
+    assert_eq!(s.limit, 12.0);
+    s.limit = 30.0;
+    s.stages[0].base = 10.0;
+    ratios(&mut s, 4.0, 30);
+    s.update(1000.0);
+    assert_eq!(s.limit, 30.0);
+}
+
+#[test]
+fn with_full_cores_the_limit_follows_the_gradient_with_headroom_and_clamp() {
+    for (ratio, gradient) in [(2.0, 1.0f64), (100.0, 0.5), (2.667, 0.75)] {
+        let mut s = server(told());
+        s.stages[0].base = 10.0;
+        s.cores_full = true;
+        s.limit = 16.0;
+        ratios(&mut s, ratio, 30);
+        s.update(500.0);
+        let want = 16.0 * gradient + (16.0 * gradient).sqrt();
+        assert!((s.limit - want).abs() < 0.05 * want, "{ratio}: {} for {want}", s.limit);
+    }
+}
+
+#[test]
+fn an_empty_window_with_full_cores_changes_nothing() {
+    let mut s = server(told());
+    s.stages[0].base = 10.0;
+    s.cores_full = true;
+    s.limit = 11.0;
+    s.update(500.0);
+    assert_eq!(s.limit, 11.0);
+}
+
+#[test]
+fn work_that_has_stopped_counts_though_nothing_ends() {
+    let mut s = server(told());
+    s.stages[0].base = 10.0;
+    s.cores_full = true;
+    s.limit = 20.0;
+    put(&mut s, State::Running, 0);
+    s.update(5000.0);
+    assert!(s.limit < 14.0 && s.pace > 2.0);
+}
+
+#[test]
+fn the_limit_floors_at_the_cores_and_stays_under_the_survivable_crowd() {
+    let mut s = server(told());
+    s.stages[0].base = 10.0;
+    s.cores_full = true;
+    ratios(&mut s, 100.0, 30);
+    s.update(500.0);
+    assert_eq!(s.limit, 6.0);
+    s.limit = 1000.0;
+    s.update(1000.0);
+    assert_eq!(s.limit, s.crowd_ceiling());
+}
+
+#[test]
+fn full_cores_without_a_base_pin_the_limit_until_runs_give_one() {
+    let mut s = server(told());
+    s.cores_full = true;
+    s.limit = 20.0;
+    s.update(500.0);
+    s.update(1000.0);
+    assert!(s.pinned);
+    assert_eq!(s.limit, 6.0);
+    for _ in 0..60 {
+        let mut task = Task::read(arrival(0), 1000.0);
+        task.calm = true;
+        s.sample(task, 1100.0);
+    }
+    assert!(!s.pinned && (s.stages[0].base - 100.0).abs() < 5.0);
+    assert!(s.next_pin >= 181_100.0 && s.next_pin < 271_200.0);
+}
+
+#[test]
+fn the_pin_waits_for_full_cores() {
+    let mut s = server(told());
+    s.next_pin = 0.0;
+    s.update(500.0);
+    assert!(!s.pinned);
+}
+
+#[test]
+fn a_cold_start_gives_no_base_and_trouble_does_not_raise_one() {
+    let mut s = server(Told { cold: true, cold_ms: 10_000.0, cold_share: 0.25, ..told() });
+    let mut task = Task::read(arrival(0), 1000.0);
+    task.calm = true;
+    (0..30).for_each(|_| s.sample(task, 1100.0));
+    assert_eq!(s.stages[0].base, 0.0);
+    s.stages[0].base = 10.0;
+    task.started = 20_000.0;
+    (0..30).for_each(|_| s.sample(task, 20_100.0));
+    assert_eq!(s.stages[0].base, 10.0);
+}
+
+#[test]
+fn the_cold_crowd_follows_the_guaranteed_ramp() {
+    let mut s = server(Told { cold: true, cold_ms: 10_000.0, cold_share: 0.25, ..told() });
+    let cold = s.crowd_ceiling();
+    s.last_beat = 10_000.0;
+    assert!((cold - 0.8 * 6.0 * 2.75).abs() < 1e-9 && (s.crowd_ceiling() - 0.8 * 48.0).abs() < 1e-9);
+}
+
+#[test]
+fn arrivals_over_the_limit_wait_while_there_is_room_and_are_refused_early_when_full() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    for _ in 0..20 {
+        s.take(0.0, arrival(0), &mut m);
+    }
+    assert_eq!((m.count("run"), m.count("reject")), (6, 0));
+    let full = Gauges { cpu: Some(1.0), ..Gauges::default() };
+    s.beat(10.0, full, &mut m);
+    assert_eq!((s.in_state(State::Held), m.count("reject")), (6, 8));
+    s.beat(10_000.0 / 12.0 + 20.0, full, &mut m);
+    assert_eq!(s.in_state(State::Held), 0);
+}
+
+#[test]
+fn a_task_still_running_when_its_caller_stops_waiting_is_answered_in_time() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    put(&mut s, State::Running, 1);
+    s.beat(9_985.0, Gauges::default(), &mut m);
+    assert_eq!(m.count("abandon"), 0);
+    s.beat(9_995.0, Gauges::default(), &mut m);
+    s.beat(10_005.0, Gauges::default(), &mut m);
+    assert_eq!((m.count("abandon"), m.count("stop")), (1, 0));
+}
+
+#[test]
+fn restartable_work_that_earns_nothing_is_rejected_and_stopped_at_once() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.stages[0].facts.late_share = 0.0;
+    put(&mut s, State::Running, 0);
+    s.beat(2_010.0, Gauges::default(), &mut m);
+    assert_eq!(m.0, ["wake", "reject 0 last", "stop 0"]);
+}
+
+#[test]
+fn a_fingerprinted_task_is_remembered_before_it_runs_and_forgotten_when_rejected() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.take(100.0, Arrival { unread_ms: 40.0, ..arrival(1) }, &mut m);
+    assert_eq!(m.0, ["seat 0", "remember 0 4968", "run 0"]);
+    s.limit = 1.0;
+    let held = s.take(100.0, arrival(1), &mut m);
+    let memory = s.memory;
+    s.give_up(held.0, 100.0, &mut m);
+    assert!(m.0.ends_with(&["reject 1 last".into(), "forget 1".into(), "release 1".into()]));
+    assert_eq!(s.memory, memory - 10.0 - 100.0);
+}
+
+#[test]
+fn fingerprints_count_as_memory_until_they_lapse() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    let task = s.take(0.0, arrival(1), &mut m);
+    task.run_over(&mut s, 50.0, Outcome::Ok, &mut m);
+    assert_eq!(s.memory, 100.0);
+    s.pass_time(4_900.0);
+    assert_eq!(s.memory, 100.0);
+    s.pass_time(5_200.0);
+    assert_eq!(s.memory, 0.0);
+}
+
+#[test]
+fn a_repeat_joins_the_earlier_try_and_is_never_rejected() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.take(0.0, Arrival { repeat: true, ..arrival(1) }, &mut m);
+    s.beat(9_999.0, Gauges::default(), &mut m);
+    assert_eq!(m.0, ["seat 0", "join 0", "wake", "abandon 0", "release 0"]);
+}
+
+#[test]
+fn without_memory_for_its_fingerprint_a_task_is_rejected() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.memory = 0.9 * 10_000.0 - 50.0;
+    s.take(0.0, arrival(1), &mut m);
+    assert_eq!(m.0, ["seat 0", "reject 0 last", "release 0"]);
+}
+
+#[test]
+fn no_run_starts_that_the_memory_cannot_carry() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    put(&mut s, State::Running, 0);
+    s.memory = 8_900.0;
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!(m.count("run"), 0);
+}
+
+#[test]
+fn tasks_at_a_call_count_against_the_crowd_but_not_against_the_limit() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    (0..10).for_each(|_| put(&mut s, State::Calling, 0));
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!(m.count("run"), 1);
+    (0..40).for_each(|_| put(&mut s, State::Calling, 0));
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!(m.count("run"), 1);
+}
+
+#[test]
+fn a_drain_counts_from_the_arrival_not_from_the_reading() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.leave(1_000.0, 5_000.0, &mut m);
+    s.take(3_500.0, Arrival { unread_ms: 600.0, ..arrival(0) }, &mut m);
+    s.take(3_500.0, Arrival { unread_ms: 400.0, ..arrival(0) }, &mut m);
+    assert_eq!(m.0, ["health false", "seat 0", "run 0", "seat 1", "reject 1", "release 1"]);
+}
+
+#[test]
+fn everything_read_is_answered_before_the_stop() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    put(&mut s, State::Running, 1);
+    s.leave(0.0, 3_000.0, &mut m);
+    s.take(100.0, arrival(1), &mut m);
+    s.beat(2_975.0, Gauges::default(), &mut m);
+    assert_eq!(m.count("abandon"), 2);
+}
+
+#[test]
+fn a_call_is_repeated_only_when_it_surely_never_ran() {
+    for (how, calls, end) in [(Outcome::Full, 2, 0), (Outcome::Timeout, 1, 1), (Outcome::Error, 1, 1)] {
+        let (mut s, mut m) = (server(told()), Log::default());
+        let task = s.take(0.0, arrival(1), &mut m);
+        task.needs_call(&mut s, 10.0, &mut m);
+        task.call_over(&mut s, 20.0, how, 10.0, &mut m);
+        s.beat(500.0, Gauges::default(), &mut m);
+        assert_eq!((m.count("call"), m.count("abandon")), (calls, end), "{how:?}");
+    }
+}
+
+#[test]
+fn a_call_that_comes_too_late_is_left_out_where_that_earns() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.call_ms = 500.0;
+    let task = s.take(0.0, arrival(0), &mut m);
+    task.needs_call(&mut s, 1_600.0, &mut m);
+    assert_eq!((m.count("call"), m.count("skip")), (0, 1));
+}
+
+#[test]
+fn the_call_window_grows_by_one_a_round_and_is_cut_once_for_one_trouble() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.call_window = 4.0;
+    let tasks: Vec<Handle> = (0..3).map(|_| s.take(0.0, arrival(0), &mut m)).collect();
+    tasks.iter().for_each(|t| t.needs_call(&mut s, 10.0, &mut m));
+    tasks[0].call_over(&mut s, 20.0, Outcome::Ok, 10.0, &mut m);
+    assert_eq!(s.call_window, 4.25);
+    tasks[1].call_over(&mut s, 20.0, Outcome::Full, 10.0, &mut m);
+    tasks[2].call_over(&mut s, 20.0, Outcome::Full, 10.0, &mut m);
+    assert!((s.call_window - 0.7 * 4.25).abs() < 1e-9);
+}
+
+#[test]
+fn calls_stay_within_the_slice_of_what_the_dependency_survives() {
+    let mut s = server(Told { below: Below::Shared, calls_share: 0.4, ..told() });
+    assert!(s.call_allowed());
+    s.call_time.add(1_800.0);
+    assert!(!s.call_allowed());
+    s.call_time.roll(5_500.0);
+    s.lingering.push(9e9);
+    assert!(!s.call_allowed());
+}
+
+#[test]
+fn the_densest_task_runs_next_and_the_customer_with_most_in_the_hold_loses() {
+    let mut s = server(told());
+    s.customers = vec![customer(0.5), customer(0.5)];
+    for (stage, who) in [(0, 0), (1, 1), (0, 1), (0, 1)] {
+        put(&mut s, State::Held, stage);
+        let n = *s.live.last().unwrap();
+        s.customers[0].held -= 1;
+        s.customers[who].held += 1;
+        s.tasks[n as usize].asked.customer = who;
+    }
+    assert_eq!((s.best_held(0.0), s.worst_held(0.0)), (Some(1), Some(3)));
+}
+
+#[test]
+fn what_a_customer_sends_beyond_its_share_here_counts_little() {
+    let mut s = server(told());
+    s.customers = vec![customer(1.0)];
+    s.customers[0].read.add(40.0); // 10 a second, of which 100 / 20 servers are its share
+    assert!((s.in_share(&s.customers[0]) - 0.55).abs() < 1e-9);
+}
+
+#[test]
+fn a_server_in_trouble_of_its_own_lets_others_try() {
+    let mut s = server(told());
+    assert!(s.advice(0.0).0);
+    s.pace = 5.0;
+    assert!(!s.advice(0.0).0);
+}
+
+#[test]
+fn a_slow_server_gives_up_what_cannot_end_in_time_but_keeps_one_run_to_measure() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    (s.stages[0].base, s.pace) = (1_000.0, 20.0);
+    s.take(0.0, arrival(0), &mut m);
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!((m.count("run"), m.count("reject")), (1, 1));
+}
+
+#[test]
+fn credit_is_cut_by_a_share_grows_by_one_and_keeps_its_floor() {
+    let (mut s, mut m) = (server(Told { free_value: FreeValue::Credit, ..told() }), Log::default());
+    (s.credit, s.turned_away) = (10.0, 1);
+    s.say(&mut m);
+    assert_eq!(s.credit, 8.0);
+    s.say(&mut m);
+    assert_eq!(s.credit, 9.0);
+    (s.credit, s.turned_away) = (0.1, 1);
+    s.say(&mut m);
+    assert_eq!(s.credit, 2.0);
+}
--- a/crates/asterdale/src/lib.rs
+++ b/crates/asterdale/src/lib.rs
@@ -1,10 +1,13 @@
 //! Admission and scheduling decisions for one server behind balancers that it does not control.
 //!
 //! [`decide`] holds every decision. It is told what it needs at the start ([`told`]), hears what happens
-//! through method calls, and answers through the [`machine::Machine`] trait. It does no I/O and reads no clock.
+//! through method calls, and answers through the [`machine::Machine`] trait. It does no I/O and reads no
+//! clock.
 
 pub mod decide;
 pub mod machine;
+mod measure;
+mod task;
 pub mod told;
 
 pub use decide::{Handle, Server};
--- a/crates/asterdale/src/machine.rs
+++ b/crates/asterdale/src/machine.rs
@@ -4,8 +4,8 @@
 
 /// The hosting server, as the decisions see it.
 ///
-/// Methods take effect in the order in which they are called. A call that names a task which is already over
-/// must be harmless.
+/// Methods take effect in the order in which they are called. A call that names a task which is already
+/// over must be harmless.
 pub trait Machine {
     /// The task now being taken is known by this handle from here on.
     fn seat(&mut self, task: Handle);
