Reckon every call in hand at its full patience within the dependency's slice

Also covers a layer that falls silent, since nothing is assumed about when a call returns. It can hurt where the slice is tiny and tasks wait long: fewer calls overlap.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -112,7 +112,7 @@
             cut_at: now,
             call_ms: 0.0,
             lingering: Vec::new(),
-            call_time: Ring::new(told.calls_window_ms, 20, now),
+            call_time: Ring::new(1.05 * told.calls_window_ms, 21, now),
             last_beat: now,
             credit: 0.0,
             turned_away: 0,
@@ -545,20 +545,23 @@
         (self.in_state(State::Calling) + self.lingering.len()) as f64
     }
 
-    /// Whether one more call may go out now.
-    fn call_allowed(&self) -> bool {
-        let in_hand = self.calls_in_hand();
-        if in_hand >= self.call_window.floor().max(1.0) {
-            return false;
+    /// How long one more call may take if it went out now; 0 for not at all.
+    fn call_room(&self, now: f64) -> f64 {
+        if self.calls_in_hand() >= self.call_window.floor().max(1.0) {
+            return 0.0;
         }
         if self.told.below != Below::Shared {
-            return true;
+            return f64::INFINITY;
         }
-        // Our slice of what the dependency survives, as an average: the calls made, and those in hand for
-        // as long as one lasts. A slice under one still lets single calls through.
-        let (slice, window) = (self.told.calls_share, self.told.calls_window_ms.max(1000.0));
-        let used = self.call_time.total() + (in_hand + 1.0) * self.call_ms.clamp(self.told.tick_ms, window);
-        in_hand < (2.0 * slice).max(1.0) && used <= 0.9 * slice * window
+        // Our slice of what the dependency survives, as an average, with every call in hand reckoned to last as
+        // long as it was given: a layer that slows down or falls silent must not find more calls than planned.
+        let lasting = |&n: &u32| match self.tasks[n as usize].state {
+            State::Calling => self.tasks[n as usize].until - now,
+            _ => 0.0,
+        };
+        let reserved: f64 =
+            self.live.iter().map(lasting).chain(self.lingering.iter().map(|at| at - now)).sum();
+        0.9 * self.told.calls_share * self.told.calls_window_ms - self.call_time.total() - reserved
     }
 
     /// Places the calls that wait, those that can't be left out first; leaves out those that come too late.
@@ -585,9 +588,13 @@
             if can_skip && (spare < self.call_ms || task.tries > 2) {
                 self.back_to_work(n, now);
                 m.skip_call(Handle(n));
-            } else if now >= task.not_before && spare > 0.0 && self.call_allowed() {
-                self.enter(n, State::Calling);
-                m.call(Handle(n), spare.max(BEAT));
+            } else if now >= task.not_before && spare > 0.0 {
+                let patience = spare.min(self.call_room(now) - self.told.linger_ms);
+                if patience >= spare.min(4.0 * self.call_ms).max(BEAT) {
+                    self.enter(n, State::Calling);
+                    self.tasks[n as usize].until = now + patience + self.told.linger_ms;
+                    m.call(Handle(n), patience);
+                }
             }
         }
     }
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -268,14 +268,14 @@
 }
 
 #[test]
-fn calls_stay_within_the_slice_of_what_the_dependency_survives() {
+fn calls_stay_within_the_slice_even_if_all_last_as_long_as_they_may() {
     let mut s = server(Told { below: Below::Shared, calls_share: 0.4, ..told() });
-    assert!(s.call_allowed());
-    s.call_time.add(1_800.0);
-    assert!(!s.call_allowed());
-    s.call_time.roll(5_500.0);
-    s.lingering.push(9e9);
-    assert!(!s.call_allowed());
+    assert!((s.call_room(0.0) - 1_800.0).abs() < 1e-6);
+    put(&mut s, State::Calling, 0);
+    s.tasks[0].until = 1_000.0;
+    s.lingering.push(200.0);
+    s.call_time.add(500.0);
+    assert!((s.call_room(100.0) - (1_800.0 - 900.0 - 100.0 - 500.0)).abs() < 1e-6);
 }
 
 #[test]
--- a/crates/asterdale/src/task.rs
+++ b/crates/asterdale/src/task.rs
@@ -37,6 +37,8 @@
     pub waited: f64,
     /// When it was parked for its present call.
     pub since: f64,
+    /// When its call will surely be gone from below.
+    pub until: f64,
     /// A call that failed is not tried again before this.
     pub not_before: f64,
     /// Calls that failed for the present need.
@@ -60,6 +62,7 @@
             started: now,
             waited: 0.0,
             since: now,
+            until: now,
             not_before: now,
             tries: 0,
             entry: None,
