Call window starts small, grows only while used, and is cut when a shared layer slows

Change: for a shared dependency the window starts at two, grows only while it binds, and is cut when calls take twice their usual median. Covers any shared layer that slows or crowds; hurts for the first seconds of a burst of calls, while the window grows.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -65,7 +65,8 @@
     entries: Ring, // remembered fingerprints, by when they lapse
     call_window: f64,
     cut_at: f64,
-    call_ms: f64,
+    call_ms: f64,        // of late
+    call_times: Spread,  // over a longer time
     lingering: Vec<f64>, // calls given up that may still be below, by when they are surely gone
     call_time: Ring,     // calls in hand, times how long
     last_beat: f64,
@@ -108,7 +109,9 @@
             count: [0; 6],
             memory: 0.0,
             entries: Ring::new(1.1 * longest, 64, now),
-            call_window: told.cores,
+            // Grown as it is used; with two, one call can time the layer while another is out.
+            call_window: if told.below == Below::Shared { 2.0 } else { told.cores },
+            call_times: Spread::new(FINEST, STEP),
             cut_at: now,
             call_ms: 0.0,
             lingering: Vec::new(),
@@ -545,6 +548,22 @@
         (self.in_state(State::Calling) + self.lingering.len()) as f64
     }
 
+    /// A shared dependency takes twice as long as it mostly does: the doubling that the design allows to runs.
+    /// A tier below turns away by itself what is too much for it.
+    fn calls_slow(&self) -> bool {
+        self.told.below == Below::Shared
+            && self.call_times.total >= 20
+            && self.call_ms > 2.0 * self.call_times.quantile(0.5)
+    }
+
+    /// Cut once for one trouble below, not once for each call that it takes along.
+    fn cut_calls(&mut self, now: f64) {
+        if now - self.cut_at > self.call_ms {
+            self.cut_at = now;
+            self.call_window = (0.7 * self.call_window).max(1.0);
+        }
+    }
+
     /// How long one more call may take if it went out now; 0 for not at all.
     fn call_room(&self, now: f64) -> f64 {
         if self.calls_in_hand() >= self.call_window.floor().max(1.0) {
@@ -634,9 +653,18 @@
             return;
         }
         if how == Outcome::Ok {
-            server.call_ms += 0.1 * (took_ms - server.call_ms);
-            let grown = server.call_window + 1.0 / server.call_window;
-            server.call_window = grown.min(server.crowd_ceiling());
+            server.call_ms += 0.2 * (took_ms - server.call_ms);
+            server.call_times.add(took_ms);
+            if server.call_times.total >= 400 {
+                server.call_times.halve();
+            }
+            if server.calls_slow() {
+                server.cut_calls(now);
+            } else if server.calls_in_hand() >= server.call_window.floor() {
+                // Only a window that is used is tested: one grown idle would all go out when the layer slows.
+                let grown = server.call_window + 1.0 / server.call_window;
+                server.call_window = grown.min(server.crowd_ceiling());
+            }
             server.back_to_work(self.0, now);
             server.place_calls(now, m);
             return;
@@ -645,11 +673,7 @@
         if how == Outcome::Timeout {
             server.lingering.push(now + server.told.linger_ms);
         }
-        // Cut once for one trouble below, not once for each call that it takes along.
-        if now - server.cut_at > server.call_ms {
-            server.cut_at = now;
-            server.call_window = (0.7 * server.call_window).max(1.0);
-        }
+        server.cut_calls(now);
         // Twice as long after each failure, with jitter: a layer that recovers must not meet all calls at
         // once.
         let wait = 20.0 * f64::from(1 << task.tries.min(5)) * (0.5 + server.chance.next());
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -258,7 +258,7 @@
 fn the_call_window_grows_by_one_a_round_and_is_cut_once_for_one_trouble() {
     let (mut s, mut m) = (server(told()), Log::default());
     s.call_window = 4.0;
-    let tasks: Vec<Handle> = (0..3).map(|_| s.take(0.0, arrival(0), &mut m)).collect();
+    let tasks: Vec<Handle> = (0..5).map(|_| s.take(0.0, arrival(0), &mut m)).collect();
     tasks.iter().for_each(|t| t.needs_call(&mut s, 10.0, &mut m));
     tasks[0].call_over(&mut s, 20.0, Outcome::Ok, 10.0, &mut m);
     assert_eq!(s.call_window, 4.25);
@@ -272,7 +272,7 @@
     let mut s = server(Told { below: Below::Shared, calls_share: 0.4, ..told() });
     assert!((s.call_room(0.0) - 1_800.0).abs() < 1e-6);
     put(&mut s, State::Calling, 0);
-    s.tasks[0].until = 1_000.0;
+    (s.tasks[0].until, s.call_window) = (1_000.0, 3.0);
     s.lingering.push(200.0);
     s.call_time.add(500.0);
     assert!((s.call_room(100.0) - (1_800.0 - 900.0 - 100.0 - 500.0)).abs() < 1e-6);
