--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -463,7 +463,7 @@
         if self.warmth(now) < 1.0 || self.pace > 2.0 {
             (false, stay)
         } else {
-            (true, 0.3 * stay)
+            (true, stay)
         }
     }
 
