Send tasks elsewhere while rejections are few; last tries and short stays in overload

Change: last only when over 5% of the tasks read of late were rejected here. Hurts where a few servers alone are crowded for long: their tasks are then lost rather than moved.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -38,6 +38,7 @@
 const CORES_FULL: f64 = 0.9; // of the cpu gauge: with half a core in six idle a queue is forming
 const FINEST: f64 = 0.01; // of spreads: they hold times in ms and ratios around 1
 const STEP: f64 = 1.08; // of spreads: finer than two p95s of a few hundred runs differ by chance
+const FEW: f64 = 0.05; // of the tasks read; by trial: 0.1 costs in overload, none leaves other servers idle
 const MEMORY_PART: f64 = 0.9; // of the memory: the rest is for sizes that are told roughly
 
 /// The decisions of one server.
@@ -71,6 +72,7 @@
     call_time: Ring,     // calls in hand, times how long
     last_beat: f64,
     credit: f64,
+    rejected: Ring,   // of late
     turned_away: u32, // since the last update
 }
 
@@ -118,6 +120,7 @@
             call_time: Ring::new(1.05 * told.calls_window_ms, 21, now),
             last_beat: now,
             credit: 0.0,
+            rejected: Ring::new(WINDOWS as f64 * UPDATE, WINDOWS, now),
             turned_away: 0,
             told,
         };
@@ -431,6 +434,7 @@
                 let (last, stay) = self.advice(now);
                 m.reject(Handle(n), last, stay);
                 self.turned_away += 1;
+                self.rejected.add(1.0);
             }
             self.tasks[n as usize].answered = true;
         }
@@ -457,13 +461,15 @@
         }
         // Jitter, so that callers don't come back together.
         let stay = most * (0.5 + 0.5 * self.chance.next());
-        // Trouble of our own (cold, or slow by its pace): others are better off, so the task may go there.
-        // Else those who share our balancers are likely as full, and a walk through them only costs their
-        // reading.
-        if self.warmth(now) < 1.0 || self.pace > 2.0 {
+        // Few rejections of late: the crowd is ours alone, or short. Cold, or slow by its pace: the trouble
+        // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
+        // and a walk through them only costs reading, while a long stay away would leave cores idle between
+        // two crowds.
+        let few = self.rejected.total() <= FEW * self.customers.iter().map(|c| c.read.total()).sum::<f64>();
+        if few || self.warmth(now) < 1.0 || self.pace > 2.0 {
             (false, stay)
         } else {
-            (true, stay)
+            (true, 0.2 * stay)
         }
     }
 
@@ -510,6 +516,7 @@
         for customer in &mut self.customers {
             customer.read.roll(now);
         }
+        self.rejected.roll(now);
         self.lingering.retain(|&until| until > now);
         self.call_time.roll(now);
         let spent = self.calls_in_hand() * (now - self.last_beat);
@@ -548,8 +555,8 @@
         (self.in_state(State::Calling) + self.lingering.len()) as f64
     }
 
-    /// A shared dependency takes twice as long as it mostly does: the doubling that the design allows to runs.
-    /// A tier below turns away by itself what is too much for it.
+    /// A shared dependency takes twice as long as it mostly does: the doubling that the design allows to
+    /// runs. A tier below turns away by itself what is too much for it.
     fn calls_slow(&self) -> bool {
         self.told.below == Below::Shared
             && self.call_times.total >= 20
@@ -572,8 +579,9 @@
         if self.told.below != Below::Shared {
             return f64::INFINITY;
         }
-        // Our slice of what the dependency survives, as an average, with every call in hand reckoned to last as
-        // long as it was given: a layer that slows down or falls silent must not find more calls than planned.
+        // Our slice of what the dependency survives, as an average, with every call in hand reckoned to
+        // last as long as it was given: a layer that slows down or falls silent must not find more calls
+        // than planned.
         let lasting = |&n: &u32| match self.tasks[n as usize].state {
             State::Calling => self.tasks[n as usize].until - now,
             _ => 0.0,
