--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -3,35 +3,18 @@
 //! `Server::start` makes one from what it is told; `server.take` gives a `Handle` for a task just read, and
 //! all that happens to that task later is a call on the handle. `server.beat` wants calling at each time
 //! asked for by `Machine::wake`. Answers go out through `Machine` (machine.rs); the plain types are in
-//! told.rs. Times are ms.
+//! told.rs, what is kept in state.rs. Times are ms.
 
 use crate::machine::Machine;
-use crate::measure::{Pcg, Ring, Spread};
-use crate::task::{State, Task};
-use crate::told::{
-    Arrival, Below, CustomerFacts, FreeValue, Gauges, Halt, Outcome, Repeat, StageFacts, Told,
-};
+use crate::measure::{Ring, Spread};
+use crate::state::{Customer, Stage, State, Task};
+use crate::told::{Arrival, Below, FreeValue, Gauges, Halt, Outcome, Repeat, Told};
+
+pub use crate::state::{Handle, Server};
 
 #[cfg(test)]
 mod tests;
 
-/// A task that was taken, from `Server::take` until `Machine::release`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Handle(u32);
-
-/// What differs by stage.
-struct Stage {
-    facts: StageFacts,
-    calm: Spread, // net run times (per unit of hinted work) of calm or pinned runs
-    base: f64,    // their p95; 0 before there is one
-}
-
-struct Customer {
-    facts: CustomerFacts,
-    read: Ring,  // its tasks read of late
-    held: usize, // its tasks in the hold
-}
-
 const BEAT: f64 = 10.0; // how often time is looked at: well inside the slack that an answer may have
 const UPDATE: f64 = 500.0; // the design's interval
 const WINDOWS: usize = 8; // kept for: 4 s, several times as long as a task runs, so that a p95 has samples
@@ -39,91 +22,27 @@
 const FINEST: f64 = 0.01; // of spreads: they hold times in ms and ratios around 1
 const STEP: f64 = 1.08; // of spreads: finer than two p95s of a few hundred runs differ by chance
 const FEW: f64 = 0.05; // of the tasks read; by trial: 0.1 costs in overload, none leaves other servers idle
+const CREDIT: f64 = 2.0; // times the limit: 1.5 leaves uneven callers short, 3 lets slow servers fill up
 const MEMORY_PART: f64 = 0.9; // of the memory: the rest is for sizes that are told roughly
 
-/// The decisions of one server.
-pub struct Server {
-    told: Told,
-    stages: Vec<Stage>,
-    customers: Vec<Customer>,
-    tasks: Vec<Task>,
-    free: Vec<u32>,
-    live: Vec<u32>, // all tasks that are not free, oldest first
-    chance: Pcg,
-    born: f64,
-    leaving: Option<(f64, f64)>, // the notice, and when all must be answered
-    limit: f64,
-    next_update: f64,
-    pinned: bool,
-    next_pin: f64,
-    cores_full: bool,
-    windows: Vec<Spread>, // run time over base, a spread for each of the last windows
-    window: usize,
-    busiest: [f64; 2], // the most that ran at once, in this window and the one before
-    pace: f64,         // the median of recent ratios; 0 while nothing is known
-    count: [usize; 6], // tasks by state
-    memory: f64,
-    entries: Ring, // remembered fingerprints, by when they lapse
-    call_window: f64,
-    cut_at: f64,
-    call_ms: f64,        // of late
-    call_times: Spread,  // over a longer time
-    lingering: Vec<f64>, // calls given up that may still be below, by when they are surely gone
-    call_time: Ring,     // calls in hand, times how long
-    last_beat: f64,
-    credit: f64,
-    rejected: Ring,   // of late
-    turned_away: u32, // since the last update
-}
-
 impl Server {
     /// A server that has just started.
     pub fn start(told: Told, now: f64, m: &mut dyn Machine) -> Server {
-        let row =
-            |facts: &StageFacts| Stage { facts: facts.clone(), calm: Spread::new(FINEST, STEP), base: 0.0 };
-        let share = |facts: &CustomerFacts| {
-            let read = Ring::new(WINDOWS as f64 * UPDATE, WINDOWS, now);
-            Customer { facts: facts.clone(), read, held: 0 }
-        };
-        let mut customers: Vec<Customer> = told.customers.iter().map(share).collect();
-        if customers.is_empty() {
-            customers.push(share(&CustomerFacts { allowance_per_s: f64::INFINITY, portion: 1.0 }));
-        }
+        let mut server = Server::blank(told, now);
+        let told = &server.told;
+        let recent = || Ring::new(WINDOWS as f64 * UPDATE, WINDOWS, now);
         let longest = told.stages.iter().map(|s| s.memory_ms).fold(0.0, f64::max);
-        let mut server = Server {
-            stages: told.stages.iter().map(row).collect(),
-            customers,
-            tasks: Vec::new(),
-            free: Vec::new(),
-            live: Vec::new(),
-            chance: Pcg::new(told.seed),
-            born: now,
-            leaving: None,
-            limit: told.cores,
-            next_update: now + UPDATE,
-            pinned: false,
-            next_pin: 0.0,
-            cores_full: false,
-            windows: vec![Spread::new(FINEST, STEP); WINDOWS],
-            window: 0,
-            busiest: [0.0; 2],
-            pace: 0.0,
-            count: [0; 6],
-            memory: 0.0,
-            entries: Ring::new(1.1 * longest, 64, now),
-            // Grown as it is used; with two, one call can time the layer while another is out.
-            call_window: if told.below == Below::Shared { 2.0 } else { told.cores },
-            call_times: Spread::new(FINEST, STEP),
-            cut_at: now,
-            call_ms: 0.0,
-            lingering: Vec::new(),
-            call_time: Ring::new(1.05 * told.calls_window_ms, 21, now),
-            last_beat: now,
-            credit: 0.0,
-            rejected: Ring::new(WINDOWS as f64 * UPDATE, WINDOWS, now),
-            turned_away: 0,
-            told,
-        };
+        server.entries = Ring::new(1.1 * longest, 64, now);
+        server.call_time = Ring::new(1.05 * told.calls_window_ms, 21, now);
+        server.limit = told.cores;
+        // Grown as it is used; with two, one call can time the layer while another is out.
+        server.call_window = if told.below == Below::Shared { 2.0 } else { told.cores };
+        server.windows = vec![Spread::new(FINEST, STEP); WINDOWS];
+        server.call_times = Spread::new(FINEST, STEP);
+        server.rejected = recent();
+        server.stages.iter_mut().for_each(|s| s.calm = Spread::new(FINEST, STEP));
+        server.customers.iter_mut().for_each(|c| c.read = recent());
+        server.next_update = now + UPDATE;
         server.next_pin = now + server.pin_gap();
         server.credit = server.crowd_ceiling();
         // Checks are answered from store: real ones cost cores and calls when both are short.
@@ -195,17 +114,18 @@
         self.pace = if recent.total > 0 { recent.quantile(0.5) } else { 0.0 };
         let based = self.stages.iter().any(|s| s.base > 0.0);
         let gradient = if recent.total > 0 { (2.0 / recent.quantile(0.95)).clamp(0.5, 2.0) } else { 1.0 };
+        // A limit grows to half more than was tried of late and no further: one that nobody tested would
+        // let a burst crowd the cores before one latency is seen.
+        let tried = 1.5 * self.busiest[0].max(self.busiest[1]).max(self.told.cores);
         if !self.cores_full {
-            // Room: the limit never falls. It grows to twice what was tried of late and no further, because
-            // a limit that nobody tested would let a burst crowd the cores before one latency is seen.
+            // Room: the limit never falls, and grows each update.
             let scaled = self.limit * if based { gradient.max(1.0) } else { 2.0 };
-            let tried = 2.0 * self.busiest[0].max(self.busiest[1]).max(self.told.cores);
             self.limit = (scaled + scaled.sqrt()).min(tried).max(self.limit);
         } else if self.pinned {
             self.limit = self.told.cores;
         } else if recent.total > 0 {
             let scaled = gradient * self.limit;
-            self.limit = scaled + scaled.sqrt();
+            self.limit = (scaled + scaled.sqrt()).min(tried.max(self.limit));
         }
         if self.cores_full && !self.pinned && (!based || now >= self.next_pin) && self.warmth(now) >= 1.0 {
             self.pinned = true;
@@ -322,6 +242,10 @@
         self.enter(n, State::Held);
         m.seat(Handle(n));
         self.customers[asked.customer].read.add(1.0);
+        if self.callers.len() <= asked.caller {
+            self.callers.resize(asked.caller + 1, 0.0);
+        }
+        self.callers[asked.caller] += 1.0;
         if asked.repeat && (repeat == Repeat::Fingerprinted || self.told.fresh_ms > 0.0) {
             self.enter(n, State::Joined);
             self.tasks[n as usize].ran = true;
@@ -453,6 +377,11 @@
         }
     }
 
+    /// The limiter has cut the crowd to its floor and runs are still slow: it is the machine, not the crowd.
+    fn slow(&self) -> bool {
+        self.limit < 1.5 * self.told.cores && self.pace > 1.0
+    }
+
     /// What a rejection says: whether this try was the last, and how long to stay away.
     fn advice(&mut self, now: f64) -> (bool, f64) {
         let most = self.told.advice_ms;
@@ -466,7 +395,7 @@
         // and a walk through them only costs reading, while a long stay away would leave cores idle between
         // two crowds.
         let few = self.rejected.total() <= FEW * self.customers.iter().map(|c| c.read.total()).sum::<f64>();
-        if few || self.warmth(now) < 1.0 || self.pace > 2.0 {
+        if few || self.warmth(now) < 1.0 || self.slow() {
             (false, stay)
         } else {
             (true, 0.2 * stay)
@@ -539,12 +468,20 @@
     /// Once an update: how many tasks each caller should keep here, where callers heed that.
     fn say(&mut self, m: &mut dyn Machine) {
         if self.told.free_value == FreeValue::Credit {
-            // Cut by a share while tasks are turned away, else grown by one; never under one task a core in
-            // all.
-            let fewest = self.told.cores / self.told.callers.max(1.0);
+            // Cut by a share while tasks are turned away, else grown by one a caller; between one task a
+            // core and twice what the limit lets run beside the calls. A slow server asks for less by as
+            // much as it is slow, and never for nothing: with no task at all it could not see that it has
+            // recovered. The callers are reckoned as many as would send all of it were each like the
+            // busiest: traffic is seldom spread evenly, and those who send little don't use their part.
+            let (sent, most) =
+                self.callers.iter().fold((0.0, 0.0), |(a, b): (f64, f64), &n| (a + n, b.max(n)));
+            let callers = if most > 0.0 { sent / most } else { self.told.callers.max(1.0) };
+            self.callers.iter_mut().for_each(|n| *n *= 0.9);
+            let at_call = (self.in_state(State::Parked) + self.in_state(State::Calling)) as f64;
             let next = if self.turned_away > 0 { self.credit * 0.8 } else { self.credit + 1.0 };
-            self.credit = next.clamp(fewest, self.crowd_ceiling());
-            m.advertise(self.credit);
+            let most = CREDIT * (self.limit + at_call) / callers;
+            self.credit = next.clamp((self.told.cores / callers).min(most), most);
+            m.advertise(self.credit / self.pace.max(1.0));
         }
         self.turned_away = 0;
     }
@@ -637,11 +574,6 @@
 }
 
 impl Handle {
-    /// A small number, unique among the tasks that are not over.
-    pub fn index(self) -> usize {
-        self.0 as usize
-    }
-
     /// The run needs a call below before it can go on.
     pub fn needs_call(self, server: &mut Server, now: f64, m: &mut dyn Machine) {
         server.pass_time(now);
--- a/crates/asterdale/src/lib.rs
+++ b/crates/asterdale/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod decide;
 pub mod machine;
 mod measure;
-mod task;
+mod state;
 pub mod told;
 
 pub use decide::{Handle, Server};
--- a/crates/asterdale/src/measure.rs
+++ b/crates/asterdale/src/measure.rs
@@ -80,6 +80,20 @@
     }
 }
 
+impl Default for Spread {
+    /// Of no use until it is made anew with its steps.
+    fn default() -> Self {
+        Spread::new(1.0, 2.0)
+    }
+}
+
+impl Default for Ring {
+    /// Of no use until it is made anew with its span.
+    fn default() -> Self {
+        Ring::new(0.0, 1, 0.0)
+    }
+}
+
 /// A permuted congruential generator (XSH-RR 64/32).
 pub(crate) struct Pcg(u64);
 
