--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -318,7 +318,8 @@
     /// A task that could no longer end in time to earn anything. One run always goes ahead: with none the
     /// pace would never be measured again.
     fn hopeless(&self, task: &Task, now: f64) -> bool {
-        let last = if self.stage(task).facts.late_share > 0.0 { task.due } else { task.aim };
+        let late_earns = self.stage(task).facts.late_share > 0.0 && !self.cores_full;
+        let last = if late_earns { task.due } else { task.aim };
         now >= last || (now + self.expected(task) > last && self.in_state(State::Running) > 0)
     }
 
