Bases sooner: cold runs at the guaranteed speed, borrowed ones where hints are told

Cause: cold servers and stages seen seldom had no base for ten seconds and more, so nothing was judged hopeless. Hurts if a cold server is far faster than guaranteed: its base is then low until it is warm.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -127,7 +127,7 @@
             let scaled = gradient * self.limit;
             self.limit = (scaled + scaled.sqrt()).min(tried.max(self.limit));
         }
-        if self.cores_full && !self.pinned && (!based || now >= self.next_pin) && self.warmth(now) >= 1.0 {
+        if self.cores_full && !self.pinned && (!based || now >= self.next_pin) {
             self.pinned = true;
             self.stages.iter_mut().for_each(|s| s.calm = Spread::new(FINEST, STEP));
         }
@@ -144,13 +144,13 @@
             let ratio = net / self.base(&task);
             self.windows[self.window].add(ratio);
         }
-        let unit = net / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
-        let warm = self.warmth(now) >= 1.0; // a cold start's times would stand as the base for minutes
+        // A cold start's times would stand as the base for minutes: they count at the speed that is guaranteed.
+        let unit = net * self.warmth(now) / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
         let pinned = self.pinned;
         let stage = &mut self.stages[task.asked.stage];
         // Runs at three times the base tell of trouble, not of calm; only a pin may raise the base that
         // far.
-        if !warm || !task.calm || (!pinned && stage.base > 0.0 && unit > 3.0 * stage.base) {
+        if !task.calm || (!pinned && stage.base > 0.0 && unit > 3.0 * stage.base) {
             return;
         }
         stage.calm.add(unit);
@@ -169,8 +169,11 @@
     }
 
     /// The base latency of a task: its stage's, times its hinted work where that is told.
+    /// A stage that has none yet borrows the largest of the others, where hints make them alike.
     fn base(&self, task: &Task) -> f64 {
-        self.stage(task).base * task.asked.hint_ms.unwrap_or(1.0)
+        let own = self.stage(task).base;
+        let Some(hint) = task.asked.hint_ms else { return own };
+        hint * if own > 0.0 { own } else { self.stages.iter().map(|s| s.base).fold(0.0, f64::max) }
     }
 
     /// How long a task would run if it began now; 0 while that is unknown.
