With full cores half of the limit runs and half waits in the hold

The buffer of 100% allows as much waiting as work: that half now waits in the hold while the cores are full. Covers any crowd of mixed utility; hurts if the cpu gauge reads full while work waits for something else.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -132,7 +132,7 @@
             self.stages.iter_mut().for_each(|s| s.calm = Spread::new(FINEST, STEP));
         }
         self.limit = self.limit.clamp(self.told.cores, self.crowd_ceiling().max(self.told.cores));
-        self.busiest = [self.in_state(State::Running) as f64, self.busiest[0]];
+        self.busiest = [0.0, self.busiest[0]];
         self.window = (self.window + 1) % WINDOWS;
         self.windows[self.window] = Spread::new(FINEST, STEP);
     }
@@ -144,7 +144,8 @@
             let ratio = net / self.base(&task);
             self.windows[self.window].add(ratio);
         }
-        // A cold start's times would stand as the base for minutes: they count at the speed that is guaranteed.
+        // A cold start's times would stand as the base for minutes: they count at the speed that is
+        // guaranteed.
         let unit = net * self.warmth(now) / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
         let pinned = self.pinned;
         let stage = &mut self.stages[task.asked.stage];
@@ -280,13 +281,19 @@
 
     /// Starts what may start, then turns away what has no place.
     fn pump(&mut self, now: f64, m: &mut dyn Machine) {
+        let inside = (self.in_state(State::Held) + self.in_state(State::Running)) as f64;
+        self.busiest[0] = self.busiest[0].max(inside);
         while let Some(n) = self.best_held(now) {
             let task = self.tasks[n as usize];
             let running = self.in_state(State::Running);
             let crowd = running + self.in_state(State::Parked) + self.in_state(State::Calling);
             let memory = self.memory + task.asked.kb * (self.told.run_blowup - 1.0);
             let fits = memory <= MEMORY_PART * self.told.memory_kb || crowd == 0;
-            if running as f64 >= self.limit.floor() || crowd as f64 >= self.crowd_ceiling().floor() || !fits {
+            // The buffer allows a doubling, which is as much waiting as work. With full cores the waiting
+            // half is spent in the hold, where order can be chosen, and not on the cores, where a crowd
+            // wears them out.
+            let width = if self.cores_full { (self.limit / 2.0).max(self.told.cores) } else { self.limit };
+            if running as f64 >= width.floor() || crowd as f64 >= self.crowd_ceiling().floor() || !fits {
                 break;
             }
             if self.hopeless(&task, now) {
@@ -299,9 +306,9 @@
             self.note_crowd();
             m.run(Handle(n));
         }
-        // Cores full: what is over the limit is refused early. The hold keeps one place a core, to choose
-        // by.
-        while self.cores_full && self.in_state(State::Held) as f64 > self.told.cores {
+        // Cores full: what is over the limit is refused early. The hold keeps one place a core, to choose by.
+        let places = self.told.cores.max(self.limit / 2.0);
+        while self.cores_full && self.in_state(State::Held) as f64 > places {
             let Some(n) = self.worst_held(now) else { break };
             self.give_up(n, now, m);
         }
@@ -310,7 +317,6 @@
     /// Runs beside more than the floor are not calm.
     fn note_crowd(&mut self) {
         let running = self.in_state(State::Running) as f64;
-        self.busiest[0] = self.busiest[0].max(running);
         if running > self.told.cores {
             for &n in &self.live {
                 self.tasks[n as usize].calm = false;
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -134,6 +134,25 @@
     assert_eq!(s.in_state(State::Held), 0);
 }
 
+#[test]
+fn with_full_cores_half_of_the_limit_runs_and_the_hold_picks_the_densest() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    (s.limit, s.cores_full) = (16.0, true);
+    (0..12).for_each(|n| drop(s.take(0.0, arrival(n / 11), &mut m)));
+    assert_eq!((s.in_state(State::Running), s.in_state(State::Held)), (8, 4));
+    Handle(0).run_over(&mut s, 50.0, Outcome::Ok, &mut m);
+    assert!(m.0.contains(&"run 11".to_string()));
+}
+
+#[test]
+fn with_full_cores_nothing_starts_that_would_end_late() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    (s.stages[0].base, s.pace, s.cores_full) = (3_000.0, 1.0, true);
+    put(&mut s, State::Running, 0);
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!((m.count("run"), m.count("reject")), (0, 1));
+}
+
 #[test]
 fn a_task_still_running_when_its_caller_stops_waiting_is_answered_in_time() {
     let (mut s, mut m) = (server(told()), Log::default());
