A crawling server tells health checks, until its pace is forgotten

Told from a crowd by runs at the floor of the limit at over twice their base. Covers neighbours, hangs and thermal troubles; hurts if all machines slow at once, for a few seconds at a time.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -423,6 +423,13 @@
         if now >= self.next_update {
             self.update(now);
             self.say(m);
+            // So slow that even reading backs up, and what is read is late: only the callers' lists can
+            // help. Not for a crowd, where all would say so together. With no runs the pace is forgotten in
+            // a few seconds, and the server says it is well and is tried again.
+            if self.leaving.is_none() && self.well == (self.slow() && self.pace > 2.0) {
+                self.well = !self.well;
+                m.health(self.well, true);
+            }
             self.next_update = now + UPDATE;
         }
         for n in self.live.clone() {
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -139,7 +139,9 @@
 fn with_full_cores_half_of_the_limit_runs_and_the_hold_picks_the_densest() {
     let (mut s, mut m) = (server(told()), Log::default());
     (s.limit, s.cores_full) = (16.0, true);
-    (0..12).for_each(|n| drop(s.take(0.0, arrival(n / 11), &mut m)));
+    for n in 0..12 {
+        s.take(0.0, arrival(n / 11), &mut m);
+    }
     assert_eq!((s.in_state(State::Running), s.in_state(State::Held)), (8, 4));
     Handle(0).run_over(&mut s, 50.0, Outcome::Ok, &mut m);
     assert!(m.0.contains(&"run 11".to_string()));
@@ -333,6 +335,18 @@
     assert!(!s.advice(0.0).0);
 }
 
+#[test]
+fn a_crawling_server_tells_health_checks_until_its_pace_is_forgotten() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.stages[0].base = 10.0;
+    (0..6).for_each(|_| put(&mut s, State::Running, 0));
+    s.beat(600.0, Gauges { cpu: Some(1.0), ..Gauges::default() }, &mut m);
+    assert_eq!(m.count("health false"), 1);
+    (0..6).for_each(|n| s.release(n, &mut m));
+    s.beat(1_200.0, Gauges::default(), &mut m);
+    assert_eq!(m.count("health true"), 1);
+}
+
 #[test]
 fn a_slow_server_gives_up_what_cannot_end_in_time_but_keeps_one_run_to_measure() {
     let (mut s, mut m) = (server(told()), Log::default());
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -146,6 +146,8 @@
     /// Calls in hand, times how long.
     pub(crate) call_time: Ring,
     pub(crate) last_beat: f64,
+    /// As health checks are told.
+    pub(crate) well: bool,
     pub(crate) credit: f64,
     /// Tasks from each, older ones fading by a tenth an update.
     pub(crate) callers: Vec<f64>,
@@ -192,6 +194,7 @@
             lingering: Vec::new(),
             call_time: Ring::default(),
             last_beat: now,
+            well: true,
             credit: 0.0,
             callers: Vec::new(),
             rejected: Ring::default(),
