Waits in the hold by the due time; stays away by the share rejected

Covers any overload with expensive reading; hurts where callers carry traffic that should get through beside traffic that is shed.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -404,11 +404,13 @@
         // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
         // and a walk through them only costs reading, while a long stay away would leave cores idle between
         // two crowds.
-        let few = self.rejected.total() <= FEW * self.customers.iter().map(|c| c.read.total()).sum::<f64>();
+        let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
+        let share = self.rejected.total() / read;
+        let few = share <= FEW;
         if few || self.warmth(now) < 1.0 || self.slow() {
             (false, stay)
         } else {
-            (true, 0.2 * stay)
+            (true, share * stay)
         }
     }
 
@@ -438,9 +440,9 @@
                 continue;
             }
             let worthless = now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
-            // Early is a twelfth of the caller's wait: the users call a tenth early, and looks are a beat
-            // apart.
-            let waits_long = now - task.arrived > (task.due - task.arrived) / 12.0;
+            // Early is a sixth of the time in which the answer earns in full, much the same for every stage: by
+            // what a caller waits in all, the stages with patient callers took the places of the others.
+            let waits_long = now - task.arrived > (task.aim - task.arrived) / 6.0;
             let useless = match task.state {
                 State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
                 // Work that earns nothing any more takes cores and calls from work that does.
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -131,7 +131,7 @@
     let full = Gauges { cpu: Some(1.0), ..Gauges::default() };
     s.beat(10.0, full, &mut m);
     assert_eq!((s.in_state(State::Held), m.count("reject")), (6, 8));
-    s.beat(10_000.0 / 12.0 + 20.0, full, &mut m);
+    s.beat(2_000.0 / 6.0 + 20.0, full, &mut m);
     assert_eq!(s.in_state(State::Held), 0);
 }
 
