--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -90,6 +90,17 @@
         (0.8 * self.told.cores * (1.0 + spread)).max(1.0)
     }
 
+    /// How many of the limit run. The buffer allows a doubling, which is as much waiting as work. With full
+    /// cores the waiting half is spent in the hold, where order can be chosen, and not on the cores, which
+    /// a crowd wears out.
+    fn width(&self) -> f64 {
+        if self.cores_full {
+            (self.limit / 2.0).max(self.told.cores)
+        } else {
+            self.limit
+        }
+    }
+
     fn update(&mut self, now: f64) {
         // Runs far over their base count before they end: when work stops or crawls nothing ends, and a
         // window that is empty for that reason is not calm. Twice the base is the doubling that the design
@@ -113,7 +124,9 @@
         // again.
         self.pace = if recent.total > 0 { recent.quantile(0.5) } else { 0.0 };
         let based = self.stages.iter().any(|s| s.base > 0.0);
-        let gradient = if recent.total > 0 { (2.0 / recent.quantile(0.95)).clamp(0.5, 2.0) } else { 1.0 };
+        // Runs are timed beside those that run; beside the whole limit they would take longer by as much.
+        let sample = recent.quantile(0.95) * self.limit / self.width();
+        let gradient = if sample > 0.0 { (2.0 / sample).clamp(0.5, 2.0) } else { 1.0 };
         // A limit grows to half more than was tried of late and no further: one that nobody tested would
         // let a burst crowd the cores before one latency is seen.
         let tried = 1.5 * self.busiest[0].max(self.busiest[1]).max(self.told.cores);
@@ -128,7 +141,7 @@
             self.limit = (scaled + scaled.sqrt()).min(tried.max(self.limit));
         }
         if self.cores_full && !self.pinned && (!based || now >= self.next_pin) {
-            self.pinned = true;
+            (self.pinned, self.pinned_at) = (true, now);
             self.stages.iter_mut().for_each(|s| s.calm = Spread::new(FINEST, STEP));
         }
         self.limit = self.limit.clamp(self.told.cores, self.crowd_ceiling().max(self.told.cores));
@@ -146,12 +159,15 @@
         }
         // A cold start's times would stand as the base for minutes: they count at the speed that is
         // guaranteed.
-        let unit = net * self.warmth(now) / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
-        let pinned = self.pinned;
+        let had = task.had + self.core_time - task.mark;
+        let unit = had * self.warmth(now) / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
+        let (pinned, pinned_at) = (self.pinned, self.pinned_at);
         let stage = &mut self.stages[task.asked.stage];
         // Runs at three times the base tell of trouble, not of calm; only a pin may raise the base that
         // far.
-        if !task.calm || (!pinned && stage.base > 0.0 && unit > 3.0 * stage.base) {
+        if !(task.calm || (pinned && task.started >= pinned_at))
+            || (!pinned && stage.base > 0.0 && unit > 3.0 * stage.base)
+        {
             return;
         }
         stage.calm.add(unit);
@@ -289,11 +305,8 @@
             let crowd = running + self.in_state(State::Parked) + self.in_state(State::Calling);
             let memory = self.memory + task.asked.kb * (self.told.run_blowup - 1.0);
             let fits = memory <= MEMORY_PART * self.told.memory_kb || crowd == 0;
-            // The buffer allows a doubling, which is as much waiting as work. With full cores the waiting
-            // half is spent in the hold, where order can be chosen, and not on the cores, where a crowd
-            // wears them out.
-            let width = if self.cores_full { (self.limit / 2.0).max(self.told.cores) } else { self.limit };
-            if running as f64 >= width.floor() || crowd as f64 >= self.crowd_ceiling().floor() || !fits {
+            if running as f64 >= self.width().floor() || crowd as f64 >= self.crowd_ceiling().floor() || !fits
+            {
                 break;
             }
             if self.hopeless(&task, now) {
@@ -302,7 +315,7 @@
             }
             self.enter(n, State::Running);
             let task = &mut self.tasks[n as usize];
-            (task.started, task.ran, task.calm) = (now, true, true);
+            (task.started, task.ran, task.calm, task.mark) = (now, true, true, self.core_time);
             self.note_crowd();
             m.run(Handle(n));
         }
@@ -421,6 +434,14 @@
         m.wake(now + BEAT);
         self.pass_time(now);
         let crowded = self.in_state(State::Running) as f64 >= self.told.cores; // for want of a gauge
+                                                                               // What one run has had of a
+                                                                               // core, by all that wants
+                                                                               // one: a crowd of reading,
+                                                                               // checks and runs shares
+                                                                               // them.
+        let share = gauges.on_cores.map_or(1.0, |n| (self.told.cores / n.max(1.0)).min(1.0));
+        self.core_time += share * (now - self.last_look);
+        self.last_look = now;
         self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= CORES_FULL);
         if now >= self.next_update {
             self.update(now);
@@ -440,8 +461,9 @@
                 continue;
             }
             let worthless = now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
-            // Early is a sixth of the time in which the answer earns in full, much the same for every stage: by
-            // what a caller waits in all, the stages with patient callers took the places of the others.
+            // Early is a sixth of the time in which the answer earns in full, much the same for every
+            // stage: by what a caller waits in all, the stages with patient callers took the places of the
+            // others.
             let waits_long = now - task.arrived > (task.aim - task.arrived) / 6.0;
             let useless = match task.state {
                 State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
@@ -587,6 +609,7 @@
         self.enter(n, State::Running);
         let task = &mut self.tasks[n as usize];
         task.waited += now - task.since;
+        task.mark = self.core_time;
         task.tries = 0;
         self.note_crowd();
     }
@@ -598,7 +621,10 @@
         server.pass_time(now);
         if server.tasks[self.index()].state == State::Running {
             server.enter(self.0, State::Parked);
-            server.tasks[self.index()].since = now;
+            let core_time = server.core_time;
+            let task = &mut server.tasks[self.index()];
+            task.since = now;
+            task.had += core_time - task.mark;
         }
         server.place_calls(now, m);
         server.pump(now, m);
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -48,6 +48,10 @@
     pub started: f64,
     /// Call waits so far, which are not run time.
     pub waited: f64,
+    /// Core time it has had, as `Server::core_time` counts it, up to its last call.
+    pub had: f64,
+    /// `Server::core_time` when it last began to want a core.
+    pub mark: f64,
     /// When it was parked for its present call.
     pub since: f64,
     /// When its call will surely be gone from below.
@@ -74,6 +78,8 @@
             calm: false,
             started: now,
             waited: 0.0,
+            had: 0.0,
+            mark: 0.0,
             since: now,
             until: now,
             not_before: now,
@@ -121,6 +127,7 @@
     pub(crate) limit: f64,
     pub(crate) next_update: f64,
     pub(crate) pinned: bool,
+    pub(crate) pinned_at: f64,
     pub(crate) next_pin: f64,
     pub(crate) cores_full: bool,
     /// Run time over base, a spread for each of the last windows.
@@ -146,6 +153,9 @@
     /// Calls in hand, times how long.
     pub(crate) call_time: Ring,
     pub(crate) last_beat: f64,
+    /// What a run could have had of a core since the start.
+    pub(crate) core_time: f64,
+    pub(crate) last_look: f64,
     /// As health checks are told.
     pub(crate) well: bool,
     pub(crate) credit: f64,
@@ -178,6 +188,7 @@
             limit: 0.0,
             next_update: now,
             pinned: false,
+            pinned_at: now,
             next_pin: now,
             cores_full: false,
             windows: Vec::new(),
@@ -194,6 +205,8 @@
             lingering: Vec::new(),
             call_time: Ring::default(),
             last_beat: now,
+            core_time: 0.0,
+            last_look: now,
             well: true,
             credit: 0.0,
             callers: Vec::new(),
