--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -84,7 +84,7 @@
     assert!(s.pinned);
     assert_eq!(s.limit, 6.0);
     s.core_time = 100.0;
-    s.sample(Task::read(arrival(0), 900.0), 1100.0); // begun in the crowd before the pin
+    s.sample(Task::read(arrival(0), 400.0), 1100.0); // begun in the crowd before the pin
     assert_eq!(s.stages[0].calm.total, 0);
     (0..60).for_each(|_| s.sample(Task::read(arrival(0), 1000.0), 1300.0));
     assert!(!s.pinned && (s.stages[0].base - 100.0).abs() < 5.0);
