--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -590,7 +590,7 @@
             // What is left for the call if the rest, about half a run, is to end in time.
             let spare =
                 if can_skip { task.aim - 0.5 * self.expected(&task) } else { task.due - 2.0 * BEAT } - now;
-            if can_skip && (spare < self.call_ms || task.tries > 2) {
+            if can_skip && (spare < self.call_ms || task.tries > 1) {
                 self.back_to_work(n, now);
                 m.skip_call(Handle(n));
             } else if now >= task.not_before && spare > 0.0 {
@@ -638,6 +638,7 @@
             return;
         }
         if how == Outcome::Ok {
+            server.call_fails *= 0.9;
             server.call_ms += 0.2 * (took_ms - server.call_ms);
             server.call_times.add(took_ms);
             if server.call_times.total >= 400 {
@@ -658,7 +659,11 @@
         if how == Outcome::Timeout {
             server.lingering.push(now + server.told.linger_ms);
         }
-        server.cut_calls(now);
+        server.call_fails += 0.1 * (1.0 - server.call_fails);
+        // One server of a tier may fail calls while others have room: only when most fail is it the tier.
+        if server.told.below == Below::Shared || server.call_fails > 0.5 {
+            server.cut_calls(now);
+        }
         // Twice as long after each failure, with jitter: a layer that recovers must not meet all calls at
         // once.
         let wait = 20.0 * f64::from(1 << task.tries.min(5)) * (0.5 + server.chance.next());
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -289,7 +289,7 @@
 #[test]
 fn the_call_window_grows_by_one_a_round_and_is_cut_once_for_one_trouble() {
     let (mut s, mut m) = (server(told()), Log::default());
-    s.call_window = 4.0;
+    (s.call_window, s.call_fails) = (4.0, 0.6);
     let tasks: Vec<Handle> = (0..5).map(|_| s.take(0.0, arrival(0), &mut m)).collect();
     tasks.iter().for_each(|t| t.needs_call(&mut s, 10.0, &mut m));
     tasks[0].call_over(&mut s, 20.0, Outcome::Ok, 10.0, &mut m);
@@ -299,6 +299,15 @@
     assert!((s.call_window - 0.7 * 4.25).abs() < 1e-9);
 }
 
+#[test]
+fn a_tier_below_that_fails_few_calls_keeps_its_window() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    let task = s.take(0.0, arrival(0), &mut m);
+    task.needs_call(&mut s, 10.0, &mut m);
+    task.call_over(&mut s, 20.0, Outcome::Full, 10.0, &mut m);
+    assert_eq!(s.call_window, 6.0);
+}
+
 #[test]
 fn calls_stay_within_the_slice_even_if_all_last_as_long_as_they_may() {
     let mut s = server(Told { below: Below::Shared, calls_share: 0.4, ..told() });
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -143,6 +143,8 @@
     /// Remembered fingerprints, by when they lapse.
     pub(crate) entries: Ring,
     pub(crate) call_window: f64,
+    /// The part of calls that failed of late.
+    pub(crate) call_fails: f64,
     pub(crate) cut_at: f64,
     /// Of late.
     pub(crate) call_ms: f64,
@@ -199,6 +201,7 @@
             memory: 0.0,
             entries: Ring::default(),
             call_window: 0.0,
+            call_fails: 0.0,
             cut_at: now,
             call_ms: 0.0,
             call_times: Spread::default(),
