--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -21,7 +21,7 @@
 const CORES_FULL: f64 = 0.9; // of the cpu gauge: with half a core in six idle a queue is forming
 const FINEST: f64 = 0.01; // of spreads: they hold times in ms and ratios around 1
 const STEP: f64 = 1.08; // of spreads: finer than two p95s of a few hundred runs differ by chance
-const FEW: f64 = 0.05; // of the tasks read; by trial: 0.1 costs in overload, none leaves other servers idle
+const FEW: f64 = 0.1; // of the tasks read; by trial: 0.05 leaves others idle, 0.2 costs reading in overload
 const CREDIT: f64 = 2.0; // times the limit: 1.5 leaves uneven callers short, 3 lets slow servers fill up
 const MEMORY_PART: f64 = 0.9; // of the memory: the rest is for sizes that are told roughly
 
@@ -415,16 +415,15 @@
         let stay = most * (0.5 + 0.5 * self.chance.next());
         // Few rejections of late: the crowd is ours alone, or short. Cold, or slow by its pace: the trouble
         // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
-        // and a walk through them only costs reading, while a long stay away would leave cores idle between
-        // two crowds.
+        // and a walk through them only costs reading.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
-        let few = share <= FEW;
-        if few || self.warmth(now) < 1.0 || self.slow() {
-            (false, stay)
-        } else {
-            (true, share * stay)
-        }
+        let ours = share <= FEW || self.warmth(now) < 1.0 || self.slow();
+        // Where no free value steers callers, the stay has to: a long one moves work to those with room.
+        // Else it is as long as rejections are many, for it would leave cores idle between two short
+        // crowds.
+        let steered = self.told.free_value != FreeValue::Unused;
+        (!ours, if ours && !steered { stay } else { share * stay })
     }
 
     // ---- Time ----
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -345,9 +345,10 @@
 fn a_task_may_go_elsewhere_unless_many_are_rejected_in_good_health() {
     let mut s = server(told());
     s.customers[0].read.add(100.0);
-    s.rejected.add(4.0);
-    assert!(!s.advice(0.0).0);
-    s.rejected.add(4.0);
+    s.rejected.add(8.0);
+    assert!(!s.advice(0.0).0 && s.advice(0.0).1 >= 500.0);
+    s.rejected.add(12.0);
+    assert!(s.advice(0.0).1 <= 200.0);
     assert!(s.advice(0.0).0);
     s.pace = 1.1;
     assert!(!s.advice(0.0).0);
