Runs give way when reading backs up; write-ups of three incidents

Told by unread times over twice the best ones. Covers floods of retries, checks and new connections; hurts where reading is dear and faster rejections bring more attempts.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -94,11 +94,14 @@
     /// cores the waiting half is spent in the hold, where order can be chosen, and not on the cores, which
     /// a crowd wears out.
     fn width(&self) -> f64 {
-        if self.cores_full {
-            (self.limit / 2.0).max(self.told.cores)
-        } else {
-            self.limit
+        if !self.cores_full {
+            return self.limit;
         }
+        // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
+        // for over twice what they do at best, the same gradient gives up to half of the cores' runs to
+        // reading.
+        let reading = (2.0 * self.unread_best / self.unread).clamp(0.5, 1.0);
+        (self.limit / 2.0).max(self.told.cores) * reading
     }
 
     fn update(&mut self, now: f64) {
@@ -125,7 +128,7 @@
         self.pace = if recent.total > 0 { recent.quantile(0.5) } else { 0.0 };
         let based = self.stages.iter().any(|s| s.base > 0.0);
         // Runs are timed beside those that run; beside the whole limit they would take longer by as much.
-        let sample = recent.quantile(0.95) * self.limit / self.width();
+        let sample = recent.quantile(0.95) * (self.limit / self.width()).min(2.0);
         let gradient = if sample > 0.0 { (2.0 / sample).clamp(0.5, 2.0) } else { 1.0 };
         // A limit grows to half more than was tried of late and no further: one that nobody tested would
         // let a burst crowd the cores before one latency is seen.
@@ -146,6 +149,7 @@
         }
         self.limit = self.limit.clamp(self.told.cores, self.crowd_ceiling().max(self.told.cores));
         self.busiest = [0.0, self.busiest[0]];
+        self.unread_best *= 1.01; // so that a better time than is usual is forgotten in a minute or so
         self.window = (self.window + 1) % WINDOWS;
         self.windows[self.window] = Spread::new(FINEST, STEP);
     }
@@ -262,6 +266,9 @@
         self.enter(n, State::Held);
         m.seat(Handle(n));
         self.customers[asked.customer].read.add(1.0);
+        let weight = if self.unread_best.is_finite() { 0.05 } else { 1.0 };
+        self.unread += weight * (asked.unread_ms - self.unread);
+        self.unread_best = self.unread_best.min(self.unread.max(self.told.tick_ms));
         if self.callers.len() <= asked.caller {
             self.callers.resize(asked.caller + 1, 0.0);
         }
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -156,6 +156,20 @@
     assert!(m.0.contains(&"run 11".to_string()));
 }
 
+#[test]
+fn runs_give_way_when_reading_backs_up() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.cores_full = true;
+    s.take(0.0, Arrival { unread_ms: 20.0, ..arrival(0) }, &mut m);
+    assert_eq!((s.unread, s.unread_best, s.width()), (20.0, 20.0, 6.0));
+    s.unread = 50.0;
+    assert!((s.width() - 4.8).abs() < 1e-9);
+    s.unread = 5_000.0;
+    assert_eq!(s.width(), 3.0);
+    s.cores_full = false;
+    assert_eq!(s.width(), 6.0);
+}
+
 #[test]
 fn with_full_cores_nothing_starts_that_would_end_late() {
     let (mut s, mut m) = (server(told()), Log::default());
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -138,6 +138,9 @@
     /// The median of recent ratios; 0 while nothing is known.
     pub(crate) pace: f64,
     /// Tasks by state.
+    /// How long tasks lay unread of late, and at best.
+    pub(crate) unread: f64,
+    pub(crate) unread_best: f64,
     pub(crate) count: [usize; 6],
     pub(crate) memory: f64,
     /// Remembered fingerprints, by when they lapse.
@@ -197,6 +200,8 @@
             window: 0,
             busiest: [0.0; 2],
             pace: 0.0,
+            unread: 0.0,
+            unread_best: f64::INFINITY,
             count: [0; 6],
             memory: 0.0,
             entries: Ring::default(),
