Full cores by slow runs whatever the gauge reads; a tier's call window floors at the cores

A gauge stuck low would otherwise never let the server refuse. Hurts if runs are slow for want of something other than cores.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -439,16 +439,15 @@
     pub fn beat(&mut self, now: f64, gauges: Gauges, m: &mut dyn Machine) {
         m.wake(now + BEAT);
         self.pass_time(now);
-        let crowded = self.in_state(State::Running) as f64 >= self.told.cores; // for want of a gauge
-                                                                               // What one run has had of a
-                                                                               // core, by all that wants
-                                                                               // one: a crowd of reading,
-                                                                               // checks and runs shares
-                                                                               // them.
+        // What one run has had of a core, by all that wants one: reading, checks and runs share them.
         let share = gauges.on_cores.map_or(1.0, |n| (self.told.cores / n.max(1.0)).min(1.0));
         self.core_time += share * (now - self.last_look);
         self.last_look = now;
-        self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= CORES_FULL);
+        // A gauge may be missing, late or wrong: with a run on every core, and the middle one longer than
+        // the p95 of calm ones, the cores are full whatever it reads.
+        let crowded = self.in_state(State::Running) as f64 >= self.told.cores;
+        let slow = crowded && self.pace > 1.0;
+        self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= CORES_FULL || slow);
         if now >= self.next_update {
             self.update(now);
             self.say(m);
@@ -551,7 +550,8 @@
     fn cut_calls(&mut self, now: f64) {
         if now - self.cut_at > self.call_ms {
             self.cut_at = now;
-            self.call_window = (0.7 * self.call_window).max(1.0);
+            let least = if self.told.below == Below::Shared { 1.0 } else { self.told.cores };
+            self.call_window = (0.7 * self.call_window).max(least);
         }
     }
 
