--- a/crates/asterdale-simhost/src/facts.rs
+++ b/crates/asterdale-simhost/src/facts.rs
@@ -20,13 +20,14 @@
 pub fn read(seed: u64, text: &[u8]) -> Result<(Told, Vec<String>), serde_json::Error> {
     let all: Value = serde_json::from_slice(text)?;
     let (extra, rules, limits) = (&all["extra"], &all["guarantees"], &all["limits"]);
-    let without = list(&extra["worthWithout"]);
+    let (without, calls) = (list(&extra["worthWithout"]), list(&extra["classCalls"]));
     let stages = list(&all["lanes"]).iter().enumerate().map(|(n, lane)| StageFacts {
         due_ms: ms(&lane["objectiveNs"]),
         limit_ms: ms(&lane["deadlineNs"]),
         utility: number(&lane["worth"]),
         late_share: number(&lane["lateShare"]),
         without_call: without.get(n).map_or(0.0, number),
+        calls: calls.get(n).and_then(Value::as_bool).unwrap_or(false),
         repeat: match lane["repeat"].as_str() {
             Some("repeatable") => Repeat::Restartable,
             Some("by_key") => Repeat::Fingerprinted,
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -347,9 +347,18 @@
     /// A task that could no longer end in time to earn anything. One run always goes ahead: with none the
     /// pace would never be measured again.
     fn hopeless(&self, task: &Task, now: f64) -> bool {
-        let late_earns = self.stage(task).facts.late_share > 0.0 && !self.cores_full;
+        let facts = &self.stage(task).facts;
+        let late_earns = facts.late_share > 0.0 && !self.cores_full;
         let last = if late_earns { task.due } else { task.aim };
-        now >= last || (now + self.expected(task) > last && self.in_state(State::Running) > 0)
+        // Work that can't do without its call only wears the cores while the queue for calls is too long.
+        let must_call = facts.calls && facts.without_call <= 0.0;
+        let waits = |&&n: &&u32| {
+            let other = &self.tasks[n as usize];
+            other.state == State::Parked && self.stage(other).facts.without_call <= 0.0
+        };
+        let queue = self.live.iter().filter(waits).count() as f64 / self.call_window.max(1.0) * self.call_ms;
+        let end = now + self.expected(task) + if must_call { queue } else { 0.0 };
+        now >= last || (end > last && self.in_state(State::Running) > 0)
     }
 
     /// Moves a task to another state, keeping the counts and the memory.
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -409,6 +409,22 @@
     assert_eq!((m.count("run"), m.count("reject")), (1, 1));
 }
 
+#[test]
+fn work_that_must_call_is_not_begun_when_the_queue_for_calls_is_too_long() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    (s.call_window, s.call_ms) = (1.0, 600.0);
+    put(&mut s, State::Running, 0);
+    (0..4).for_each(|_| put(&mut s, State::Parked, 0)); // these can do without: no queue
+    s.tasks.iter_mut().for_each(|t| t.not_before = 1e9);
+    s.cores_full = true;
+    s.take(0.0, arrival(1), &mut m);
+    assert_eq!((m.count("run"), m.count("reject")), (1, 0));
+    (0..4).for_each(|_| put(&mut s, State::Parked, 1));
+    s.take(0.0, arrival(1), &mut m);
+    s.take(0.0, arrival(0), &mut m);
+    assert_eq!((m.count("run"), m.count("reject")), (2, 1));
+}
+
 #[test]
 fn credit_is_cut_by_a_share_grows_by_one_and_keeps_its_floor() {
     let (mut s, mut m) = (server(Told { free_value: FreeValue::Credit, ..told() }), Log::default());
--- a/crates/asterdale/src/decide/tests/support.rs
+++ b/crates/asterdale/src/decide/tests/support.rs
@@ -8,6 +8,7 @@
         utility,
         late_share: 0.2,
         without_call: if repeat == Repeat::Restartable { 0.5 } else { 0.0 },
+        calls: true,
         repeat,
         memory_ms: 5_000.0,
     };
--- a/crates/asterdale/src/told.rs
+++ b/crates/asterdale/src/told.rs
@@ -24,6 +24,8 @@
     pub late_share: f64,
     /// The part of the utility that is earned when a call was left out.
     pub without_call: f64,
+    /// Its tasks may call what lies below.
+    pub calls: bool,
     /// How often its tasks may run.
     pub repeat: Repeat,
     /// How long after arriving a task can show up again.
