--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -189,12 +189,18 @@
         }
     }
 
-    /// The base latency of a task: its stage's, times its hinted work where that is told.
-    /// A stage that has none yet borrows the largest of the others, where hints make them alike.
+    /// A stage's base; one that has none yet borrows the largest of the others.
+    fn likely_base(&self, stage: &Stage) -> f64 {
+        if stage.base > 0.0 {
+            return stage.base;
+        }
+        self.stages.iter().map(|s| s.base).fold(0.0, f64::max)
+    }
+
+    /// The base latency of a task: its stage's, times its hinted work where that makes stages alike.
     fn base(&self, task: &Task) -> f64 {
-        let own = self.stage(task).base;
-        let Some(hint) = task.asked.hint_ms else { return own };
-        hint * if own > 0.0 { own } else { self.stages.iter().map(|s| s.base).fold(0.0, f64::max) }
+        let stage = self.stage(task);
+        task.asked.hint_ms.map_or(stage.base, |hint| hint * self.likely_base(stage))
     }
 
     /// How long a task would run if it began now; 0 while that is unknown.
@@ -220,7 +226,7 @@
         let stage = self.stage(task);
         let late = now + self.expected(task) > task.aim;
         let utility = stage.facts.utility * if late { stage.facts.late_share } else { 1.0 };
-        let cost = if self.told.by_work || stage.base <= 0.0 { 1.0 } else { stage.base };
+        let cost = if self.told.by_work { 1.0 } else { self.likely_base(stage).max(1e-6) };
         utility * self.in_share(&self.customers[task.asked.customer]) / cost
     }
 
@@ -268,7 +274,7 @@
         self.customers[asked.customer].read.add(1.0);
         let weight = if self.unread_best.is_finite() { 0.05 } else { 1.0 };
         self.unread += weight * (asked.unread_ms - self.unread);
-        self.unread_best = self.unread_best.min(self.unread.max(self.told.tick_ms));
+        self.unread_best = self.unread_best.min(self.unread.max(self.told.tick_ms.max(1.0)));
         if self.callers.len() <= asked.caller {
             self.callers.resize(asked.caller + 1, 0.0);
         }
@@ -351,13 +357,15 @@
         let late_earns = facts.late_share > 0.0 && !self.cores_full;
         let last = if late_earns { task.due } else { task.aim };
         // Work that can't do without its call only wears the cores while the queue for calls is too long.
-        let must_call = facts.calls && facts.without_call <= 0.0;
-        let waits = |&&n: &&u32| {
-            let other = &self.tasks[n as usize];
-            other.state == State::Parked && self.stage(other).facts.without_call <= 0.0
-        };
-        let queue = self.live.iter().filter(waits).count() as f64 / self.call_window.max(1.0) * self.call_ms;
-        let end = now + self.expected(task) + if must_call { queue } else { 0.0 };
+        let mut end = now + self.expected(task);
+        if facts.calls && facts.without_call <= 0.0 {
+            let waits = |&&n: &&u32| {
+                let other = &self.tasks[n as usize];
+                other.state == State::Parked && self.stage(other).facts.without_call <= 0.0
+            };
+            let queue = self.live.iter().filter(waits).count() as f64;
+            end += queue / self.call_window.max(1.0) * self.call_ms;
+        }
         now >= last || (end > last && self.in_state(State::Running) > 0)
     }
 
@@ -404,7 +412,7 @@
         match task.state {
             State::Running if restartable && self.told.halt != Halt::Never => m.stop(Handle(n)),
             State::Held => {
-                if let Some(bucket) = task.entry {
+                if let Some(bucket) = task.entry.filter(|&bucket| bucket > self.entries.clock) {
                     *self.entries.cell(bucket) -= 1.0;
                     self.memory -= self.told.entry_kb;
                     m.forget(Handle(n));
@@ -671,7 +679,7 @@
             return;
         }
         server.enter(self.0, State::Parked);
-        if how == Outcome::Timeout {
+        if matches!(how, Outcome::Timeout | Outcome::Reset) {
             server.lingering.push(now + server.told.linger_ms);
         }
         server.call_fails += 0.1 * (1.0 - server.call_fails);
@@ -702,6 +710,9 @@
         if task.state == State::Running && how == Outcome::Ok {
             server.sample(task, now);
         }
+        if task.state == State::Calling {
+            server.lingering.push(now + server.told.linger_ms); // given up with its call out, which may stay
+        }
         if !task.answered && matches!(how, Outcome::Cancelled | Outcome::Moot) {
             m.abandon(self); // nothing is stopped unanswered here; if it was all the same, it is not lost
         }
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -239,6 +239,36 @@
     assert_eq!(s.memory, 0.0);
 }
 
+#[test]
+fn a_fingerprint_that_lapsed_in_the_hold_is_not_counted_off_twice() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.limit = 0.0;
+    let held = s.take(0.0, arrival(1), &mut m);
+    s.pass_time(6_000.0);
+    s.give_up(held.0, 6_000.0, &mut m);
+    assert_eq!((s.memory, s.entries.total()), (0.0, 0.0));
+}
+
+#[test]
+fn a_call_given_up_with_its_task_still_counts_while_it_may_linger() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    put(&mut s, State::Calling, 0);
+    Handle(0).run_over(&mut s, 100.0, Outcome::Cancelled, &mut m);
+    assert_eq!(s.calls_in_hand(), 1.0);
+    s.pass_time(301.0);
+    assert_eq!(s.calls_in_hand(), 0.0);
+}
+
+#[test]
+fn a_stage_without_a_base_is_not_taken_for_free() {
+    let mut s = server(told());
+    s.stages[0].base = 100.0;
+    put(&mut s, State::Held, 0);
+    put(&mut s, State::Held, 1);
+    let density = |n: usize| s.density(&s.tasks[n], 0.0);
+    assert!((density(1) / density(0) - 3.0).abs() < 1e-9);
+}
+
 #[test]
 fn a_repeat_joins_the_earlier_try_and_is_never_rejected() {
     let (mut s, mut m) = (server(told()), Log::default());
--- a/crates/asterdale/src/measure.rs
+++ b/crates/asterdale/src/measure.rs
@@ -46,7 +46,8 @@
 /// future.
 pub(crate) struct Ring {
     pub width: f64,
-    clock: u64,
+    /// The present bucket, counted from time 0.
+    pub clock: u64,
     cells: Vec<f64>,
 }
 
