--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -91,23 +91,21 @@
     }
 
     /// How many of the limit run. The buffer allows a doubling, which is as much waiting as work. With full
-    /// cores the waiting half is spent in the hold, where order can be chosen, and not on the cores, which
-    /// a crowd wears out.
+    /// cores the waiting half is spent in the hold, where order can be chosen, not on the cores, which a
+    /// crowd wears out.
     fn width(&self) -> f64 {
         if !self.cores_full {
             return self.limit;
         }
         // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
-        // for over twice what they do at best, the same gradient gives up to half of the cores' runs to
-        // reading.
+        // for over twice what they do at best, up to half of the runs give way.
         let reading = (2.0 * self.unread_best / self.unread).clamp(0.5, 1.0);
         (self.limit / 2.0).max(self.told.cores) * reading
     }
 
     fn update(&mut self, now: f64) {
-        // Runs far over their base count before they end: when work stops or crawls nothing ends, and a
-        // window that is empty for that reason is not calm. Twice the base is the doubling that the design
-        // allows.
+        // Runs over twice their base count before they end: when work stops or crawls nothing ends, and a
+        // window that is empty for that reason is not calm.
         let mut recent = Spread::new(FINEST, STEP);
         for &n in &self.live {
             let task = &self.tasks[n as usize];
@@ -116,15 +114,13 @@
                 recent.add(ratio);
             }
         }
-        // A run lasts a good part of a window, so windows are added, newest first, until 20 samples bear a
-        // p95.
+        // A run lasts a good part of a window: windows are added, newest first, until 20 samples bear a p95.
         for back in 0..WINDOWS {
             if recent.total < 20 {
                 recent.merge(&self.windows[(self.window + WINDOWS - back) % WINDOWS]);
             }
         }
-        // With no sample left the pace is forgotten, so that a server that gave up on slow work tries
-        // again.
+        // With no sample left the pace is forgotten: a server that gave up on slow work tries again.
         self.pace = if recent.total > 0 { recent.quantile(0.5) } else { 0.0 };
         let based = self.stages.iter().any(|s| s.base > 0.0);
         // Runs are timed beside those that run; beside the whole limit they would take longer by as much.
@@ -161,22 +157,19 @@
             let ratio = net / self.base(&task);
             self.windows[self.window].add(ratio);
         }
-        // A cold start's times would stand as the base for minutes: they count at the speed that is
-        // guaranteed.
+        // A cold start's times would stand as the base for minutes: they count at the guaranteed speed.
         let had = task.had + self.core_time - task.mark;
         let unit = had * self.warmth(now) / task.asked.hint_ms.unwrap_or(1.0).max(1e-3);
         let (pinned, pinned_at) = (self.pinned, self.pinned_at);
         let stage = &mut self.stages[task.asked.stage];
-        // Runs at three times the base tell of trouble, not of calm; only a pin may raise the base that
-        // far.
+        // Runs at three times the base tell of trouble, not of calm; only a pin may raise the base so far.
         if !(task.calm || (pinned && task.started >= pinned_at))
             || (!pinned && stage.base > 0.0 && unit > 3.0 * stage.base)
         {
             return;
         }
         stage.calm.add(unit);
-        // The design waits for 500 runs, which take minutes here; 20 of a stage are the fewest that have a
-        // p95.
+        // The design waits for 500 runs, minutes here; 20 of a stage are the fewest that have a p95.
         if stage.calm.total >= 20 {
             stage.base = stage.calm.quantile(0.95);
         }
@@ -483,9 +476,8 @@
                 continue;
             }
             let worthless = now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
-            // Early is a sixth of the time in which the answer earns in full, much the same for every
-            // stage: by what a caller waits in all, the stages with patient callers took the places of the
-            // others.
+            // Early is a sixth of the time in which the answer earns in full: by what a caller waits in
+            // all, the stages with patient callers took the places of the others.
             let waits_long = now - task.arrived > (task.aim - task.arrived) / 6.0;
             let useless = match task.state {
                 State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
@@ -581,8 +573,8 @@
             return f64::INFINITY;
         }
         // Our slice of what the dependency survives, as an average, with every call in hand reckoned to
-        // last as long as it was given: a layer that slows down or falls silent must not find more calls
-        // than planned.
+        // last as long as it was given: a layer that slows or falls silent must not find more calls than
+        // planned.
         let lasting = |&n: &u32| match self.tasks[n as usize].state {
             State::Calling => self.tasks[n as usize].until - now,
             _ => 0.0,
@@ -687,8 +679,7 @@
         if server.told.below == Below::Shared || server.call_fails > 0.5 {
             server.cut_calls(now);
         }
-        // Twice as long after each failure, with jitter: a layer that recovers must not meet all calls at
-        // once.
+        // Twice as long each time, with jitter: a layer that recovers must not meet all calls at once.
         let wait = 20.0 * f64::from(1 << task.tries.min(5)) * (0.5 + server.chance.next());
         server.tasks[self.index()].tries += 1;
         server.tasks[self.index()].not_before = now + wait;
