--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -475,13 +475,14 @@
             if task.answered || task.state == State::Free {
                 continue;
             }
-            let worthless = now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
+            let worthless = self.cores_full && now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
             // Early is a sixth of the time in which the answer earns in full: by what a caller waits in
             // all, the stages with patient callers took the places of the others.
             let waits_long = now - task.arrived > (task.aim - task.arrived) / 6.0;
             let useless = match task.state {
                 State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
-                // Work that earns nothing any more takes cores and calls from work that does.
+                // Work that earns nothing any more takes full cores from work that does. With room it goes
+                // on: a late answer is no loss, work thrown away is.
                 State::Running => worthless && self.restartable(&task) && self.told.halt != Halt::Never,
                 State::Parked | State::Calling => worthless && self.restartable(&task),
                 _ => false,
