--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -361,6 +361,30 @@
     assert!((s.call_window - 0.7 * 4.25).abs() < 1e-9);
 }
 
+#[test]
+fn a_call_window_cut_to_one_recovers_by_the_calls_it_lets_out() {
+    let shared = Told { below: Below::Shared, calls_share: 10.0, ..told() };
+    let (mut s, mut m) = (server(shared), Log::default());
+    s.call_window = 1.0;
+    let tasks: Vec<Handle> = (0..6).map(|_| s.take(0.0, arrival(0), &mut m)).collect();
+    tasks.iter().for_each(|t| t.needs_call(&mut s, 10.0, &mut m));
+    assert_eq!(m.count("call"), 1);
+    for task in tasks.iter().take(3) {
+        task.call_over(&mut s, 40.0, Outcome::Ok, 30.0, &mut m);
+    }
+    assert!(s.call_window >= 2.0 && m.count("call") >= 5, "{} {}", s.call_window, m.count("call"));
+}
+
+#[test]
+fn a_limit_at_its_floor_grows_again_once_runs_are_quick() {
+    let mut s = server(told());
+    (s.stages[0].base, s.cores_full, s.limit) = (10.0, true, 6.0);
+    s.windows[s.window] = Spread::new(FINEST, STEP);
+    ratios(&mut s, 0.4, 30);
+    s.update(500.0);
+    assert!(s.limit > 6.0);
+}
+
 #[test]
 fn a_tier_below_that_fails_few_calls_keeps_its_window() {
     let (mut s, mut m) = (server(told()), Log::default());
