--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -462,9 +462,13 @@
             self.update(now);
             self.say(m);
             // So slow that even reading backs up, and what is read is late: only the callers' lists can
-            // help. Not for a crowd, where all would say so together. With no runs the pace is forgotten in
-            // a few seconds, and the server says it is well and is tried again.
-            if self.leaving.is_none() && self.well == (self.slow() && self.pace > 2.0) {
+            // help. Not for a crowd, where all would say so together; by chance between 4 and 8 s, about
+            // what a list takes to follow twice, so that not all come back together. Then it is tried
+            // again.
+            if self.slow() && self.pace > 2.0 {
+                self.unwell_until = now + 4000.0 * (1.0 + self.chance.next());
+            }
+            if self.leaving.is_none() && self.well == (now < self.unwell_until) {
                 self.well = !self.well;
                 m.health(self.well, true);
             }
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -445,14 +445,16 @@
 }
 
 #[test]
-fn a_crawling_server_tells_health_checks_until_its_pace_is_forgotten() {
+fn a_crawling_server_tells_health_checks_for_a_while_and_is_tried_again() {
     let (mut s, mut m) = (server(told()), Log::default());
     s.stages[0].base = 10.0;
     (0..6).for_each(|_| put(&mut s, State::Running, 0));
     s.beat(600.0, Gauges { cpu: Some(1.0), ..Gauges::default() }, &mut m);
     assert_eq!(m.count("health false"), 1);
     (0..6).for_each(|n| s.release(n, &mut m));
-    s.beat(1_200.0, Gauges::default(), &mut m);
+    s.beat(4_000.0, Gauges::default(), &mut m);
+    assert_eq!(m.count("health true"), 0);
+    s.beat(9_000.0, Gauges::default(), &mut m);
     assert_eq!(m.count("health true"), 1);
 }
 
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -163,6 +163,7 @@
     pub(crate) last_look: f64,
     /// As health checks are told.
     pub(crate) well: bool,
+    pub(crate) unwell_until: f64,
     pub(crate) credit: f64,
     /// Tasks from each, older ones fading by a tenth an update.
     pub(crate) callers: Vec<f64>,
@@ -216,6 +217,7 @@
             core_time: 0.0,
             last_look: now,
             well: true,
+            unwell_until: now,
             credit: 0.0,
             callers: Vec::new(),
             rejected: Ring::default(),
