--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -98,8 +98,10 @@
             return self.limit;
         }
         // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
-        // for over twice what they do at best, up to half of the runs give way.
-        let reading = (2.0 * self.unread_best / self.unread).clamp(0.5, 1.0);
+        // for over twice what they do at best, runs give way: to half, or less where reading costs under an
+        // eighth of a run (by trial). Where it is dear, faster rejections only bring more of it.
+        let least = (4.0 * self.unread_best / self.run_ms).clamp(1.0 / self.told.cores, 0.5);
+        let reading = (2.0 * self.unread_best / self.unread).clamp(least, 1.0);
         (self.limit / 2.0).max(self.told.cores) * reading
     }
 
@@ -153,6 +155,7 @@
     /// A run that ended well: a sample for the window, and for the base if it was calm.
     fn sample(&mut self, task: Task, now: f64) {
         let net = task.net(now);
+        self.run_ms += 0.05 * (net - self.run_ms);
         if self.base(&task) > 0.0 {
             let ratio = net / self.base(&task);
             self.windows[self.window].add(ratio);
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -165,7 +165,10 @@
     s.unread = 50.0;
     assert!((s.width() - 4.8).abs() < 1e-9);
     s.unread = 5_000.0;
+    s.run_ms = 100.0;
     assert_eq!(s.width(), 3.0);
+    s.run_ms = 320.0; // reading is cheap, at a sixteenth of a run
+    assert_eq!(s.width(), 1.5);
     s.cores_full = false;
     assert_eq!(s.width(), 6.0);
 }
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -141,6 +141,8 @@
     /// How long tasks lay unread of late, and at best.
     pub(crate) unread: f64,
     pub(crate) unread_best: f64,
+    /// How long runs take of late.
+    pub(crate) run_ms: f64,
     pub(crate) count: [usize; 6],
     pub(crate) memory: f64,
     /// Remembered fingerprints, by when they lapse.
@@ -203,6 +205,7 @@
             pace: 0.0,
             unread: 0.0,
             unread_best: f64::INFINITY,
+            run_ms: 0.0,
             count: [0; 6],
             memory: 0.0,
             entries: Ring::default(),
