--- a/crates/asterdale-simhost/src/host.rs
+++ b/crates/asterdale-simhost/src/host.rs
@@ -216,7 +216,6 @@
                 hint_ms: (bits & 1 != 0).then(|| record.ms(17)),
                 kb: record.f32(38) as f64,
                 repeat: record.u32(42) != 0,
-                retry: bits & 2 != 0,
             };
             if arrival.stage >= server.stages() {
                 return Err(format!("stage {} of {}", arrival.stage, server.stages()));
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -439,10 +439,10 @@
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
         let ours = share <= FEW || self.warmth(now) < 1.0 || self.slow();
-        // Where no free value steers callers, the stay has to: a long one moves work to those with room.
+        // Where no credit steers callers, the stay has to: a long one moves work to those with room.
         // Else it is as long as rejections are many, for it would leave cores idle between two short
         // crowds.
-        let steered = self.told.free_value != FreeValue::Unused;
+        let steered = self.told.free_value == FreeValue::Credit;
         (!ours, if ours && !steered { stay } else { share * stay })
     }
 
--- a/crates/asterdale/src/decide/tests/support.rs
+++ b/crates/asterdale/src/decide/tests/support.rs
@@ -55,7 +55,6 @@
         hint_ms: None,
         kb: 10.0,
         repeat: false,
-        retry: false,
     }
 }
 
--- a/crates/asterdale/src/told.rs
+++ b/crates/asterdale/src/told.rs
@@ -150,8 +150,6 @@
     pub kb: f64,
     /// It repeats a task whose fingerprint is known here.
     pub repeat: bool,
-    /// It is marked as a further try.
-    pub retry: bool,
 }
 
 /// How a run or a call ended.
