Work whose call below comes too late leaves at once, and is not begun

A start reckoned the queue for calls but not its own call, and calls that timed out did not count as slow.

Change: a call's turn (those ahead over the window, times the usual call) decides whether to leave it out; what can't end in time is given up at once; a start reckons its own call too; time-outs count in the usual length. It also covers a tier below that slows, errors or falls silent. It could hurt where calls vary so widely that the mean misleads.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -131,14 +131,12 @@
         // A limit grows to half more than was tried of late and no further: one that nobody tested would
         // let a burst crowd the cores before one latency is seen.
         let tried = 1.5 * self.busiest[0].max(self.busiest[1]).max(self.told.cores);
-        if !self.cores_full {
-            // Room: the limit never falls, and grows each update.
-            let scaled = self.limit * if based { gradient.max(1.0) } else { 2.0 };
-            self.limit = (scaled + scaled.sqrt()).min(tried).max(self.limit);
-        } else if self.pinned {
+        // While there is room the limit never falls, and grows each update.
+        let room = if based { gradient.max(1.0) } else { 2.0 };
+        let scaled = self.limit * if self.cores_full { gradient } else { room };
+        if self.cores_full && self.pinned {
             self.limit = self.told.cores;
-        } else if recent.total > 0 {
-            let scaled = gradient * self.limit;
+        } else if !self.cores_full || recent.total > 0 {
             self.limit = (scaled + scaled.sqrt()).min(tried.max(self.limit));
         }
         if self.cores_full && !self.pinned && (!based || now >= self.next_pin) {
@@ -355,12 +353,7 @@
         // Work that can't do without its call only wears the cores while the queue for calls is too long.
         let mut end = now + self.expected(task);
         if facts.calls && facts.without_call <= 0.0 {
-            let waits = |&&n: &&u32| {
-                let other = &self.tasks[n as usize];
-                other.state == State::Parked && self.stage(other).facts.without_call <= 0.0
-            };
-            let queue = self.live.iter().filter(waits).count() as f64;
-            end += queue / self.call_window.max(1.0) * self.call_ms;
+            end += (self.in_state(State::Parked) as f64 / self.call_window + 1.0) * self.call_ms;
         }
         now >= last || (end > last && self.in_state(State::Running) > 0)
     }
@@ -407,7 +400,7 @@
         }
         match task.state {
             State::Running if restartable && self.told.halt != Halt::Never => m.stop(Handle(n)),
-            State::Held => {
+            State::Held | State::Joined => {
                 if let Some(bucket) = task.entry.filter(|&bucket| bucket > self.entries.clock) {
                     *self.entries.cell(bucket) -= 1.0;
                     self.memory -= self.told.entry_kb;
@@ -415,7 +408,6 @@
                 }
                 self.release(n, m);
             }
-            State::Joined => self.release(n, m),
             _ => {} // its run_over comes, and frees what it holds
         }
     }
@@ -431,11 +423,10 @@
         if self.leaving.is_some() {
             return (false, most);
         }
-        // Jitter, so that callers don't come back together.
-        let stay = most * (0.5 + 0.5 * self.chance.next());
-        // Few rejections of late: the crowd is ours alone, or short. Cold, or slow by its pace: the trouble
-        // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
-        // and a walk through them only costs reading.
+        let stay = most * (0.5 + 0.5 * self.chance.next()); // jitter: not all come back together
+                                                            // Few rejections of late: the crowd is ours alone, or short. Cold, or slow by its pace: the trouble
+                                                            // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
+                                                            // and a walk through them only costs reading.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
         let ours = share <= FEW || self.warmth(now) < 1.0 || self.slow();
@@ -490,8 +481,9 @@
                 State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
                 // Work that earns nothing any more takes full cores from work that does. With room it goes
                 // on: a late answer is no loss, work thrown away is.
-                State::Running => worthless && self.restartable(&task) && self.told.halt != Halt::Never,
-                State::Parked | State::Calling => worthless && self.restartable(&task),
+                State::Running | State::Calling => {
+                    worthless && self.restartable(&task) && self.told.halt != Halt::Never
+                }
                 _ => false,
             };
             if useless || now + BEAT >= task.due {
@@ -604,6 +596,7 @@
             (self.stage(task).facts.without_call > 0.0, -self.density(task, now))
         };
         waiting.sort_by(|&a, &b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
+        let mut ahead = 0.0;
         for n in waiting {
             let task = self.tasks[n as usize];
             if task.answered {
@@ -611,14 +604,21 @@
             }
             let can_skip = self.stage(&task).facts.without_call > 0.0;
             // What is left for the call if the rest, about half a run, is to end in time.
-            let spare =
-                if can_skip { task.aim - 0.5 * self.expected(&task) } else { task.due - 2.0 * BEAT } - now;
-            if can_skip && (spare < self.call_ms || task.tries > 1) {
+            let late_earns = self.stage(&task).facts.late_share > 0.0 && !can_skip;
+            let last = if late_earns { task.due } else { task.aim };
+            let spare = last - (0.5 * self.expected(&task)).max(2.0 * BEAT) - now;
+            let turn = ahead / self.call_window * self.call_ms;
+            ahead += 1.0;
+            if can_skip && (spare < turn + self.call_ms || task.tries > 1) {
                 self.back_to_work(n, now);
                 m.skip_call(Handle(n));
-            } else if now >= task.not_before && spare > 0.0 {
+            } else if spare <= 0.0 {
+                // It earns nothing more: it would hold memory and a place, and take a call from others.
+                self.give_up(n, now, m);
+            } else if now >= task.not_before {
                 let patience = spare.min(self.call_room(now) - self.told.linger_ms);
                 if patience >= spare.min(4.0 * self.call_ms).max(BEAT) {
+                    ahead -= 1.0;
                     self.enter(n, State::Calling);
                     self.tasks[n as usize].until = now + patience + self.told.linger_ms;
                     m.call(Handle(n), patience);
@@ -680,6 +680,7 @@
         }
         server.enter(self.0, State::Parked);
         if matches!(how, Outcome::Timeout | Outcome::Reset) {
+            server.call_ms += 0.2 * (took_ms - server.call_ms).max(0.0);
             server.lingering.push(now + server.told.linger_ms);
         }
         server.call_fails += 0.1 * (1.0 - server.call_fails);
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -475,17 +475,38 @@
     let (mut s, mut m) = (server(told()), Log::default());
     (s.call_window, s.call_ms) = (1.0, 600.0);
     put(&mut s, State::Running, 0);
-    (0..4).for_each(|_| put(&mut s, State::Parked, 0)); // these can do without: no queue
-    s.tasks.iter_mut().for_each(|t| t.not_before = 1e9);
     s.cores_full = true;
+    (0..2).for_each(|_| put(&mut s, State::Parked, 1));
     s.take(0.0, arrival(1), &mut m);
     assert_eq!((m.count("run"), m.count("reject")), (1, 0));
-    (0..4).for_each(|_| put(&mut s, State::Parked, 1));
+    put(&mut s, State::Parked, 1); // with its own call, too many
     s.take(0.0, arrival(1), &mut m);
     s.take(0.0, arrival(0), &mut m);
     assert_eq!((m.count("run"), m.count("reject")), (2, 1));
 }
 
+#[test]
+fn work_whose_call_can_no_longer_help_leaves_at_once() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.stages[1].facts.late_share = 0.0;
+    (s.call_window, s.call_ms) = (1.0, 300.0);
+    [0, 1, 1, 0].iter().for_each(|&stage| put(&mut s, State::Parked, stage));
+    s.tasks[1].aim = 990.0;
+    s.tasks.iter_mut().skip(2).for_each(|t| t.aim = 1_500.0);
+    s.place_calls(1_000.0, &mut m);
+    // The first has time for its turn; the last has not; one is past its aim and earns nothing any more.
+    assert_eq!(m.0, ["call 2", "abandon 1", "skip 3"]);
+}
+
+#[test]
+fn a_call_that_timed_out_took_at_least_that_long() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    let task = s.take(0.0, arrival(0), &mut m);
+    task.needs_call(&mut s, 10.0, &mut m);
+    task.call_over(&mut s, 1_010.0, Outcome::Timeout, 1_000.0, &mut m);
+    assert!(s.call_ms >= 200.0);
+}
+
 #[test]
 fn credit_is_cut_by_a_share_grows_by_one_and_keeps_its_floor() {
     let (mut s, mut m) = (server(Told { free_value: FreeValue::Credit, ..told() }), Log::default());
