Places in the hold are lost by the count of tasks, not by count for share

Change: whoever has most in the hold, in tasks, loses the next place; the least dense of those. It also guards a burst of one member or one noisy customer on machines of any size. It could hurt a large customer within its share while the hold is full of its tasks alone; density then still decides.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -234,13 +234,13 @@
         self.held().map(|n| (rank(n), n)).reduce(|a, b| if b.0 > a.0 { b } else { a }).map(|(_, n)| n)
     }
 
-    /// The held task that loses the next place: of the customer with most in the hold for its share, the
-    /// least dense, the newest of equals.
+    /// The held task that loses the next place: of the customer with most in the hold, the least dense,
+    /// the newest of equals. Not for its share: a small one with a single task would lose to a flood.
     fn worst_held(&self, now: f64) -> Option<u32> {
         let rank = |n: u32| {
             let task = &self.tasks[n as usize];
             let customer = &self.customers[task.asked.customer];
-            (-(customer.held as f64) / customer.facts.portion.max(1e-6), self.density(task, now))
+            (-(customer.held as f64), self.density(task, now))
         };
         self.held().map(|n| (rank(n), n)).reduce(|a, b| if b.0 <= a.0 { b } else { a }).map(|(_, n)| n)
     }
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -424,6 +424,8 @@
         s.tasks[n as usize].asked.customer = who;
     }
     assert_eq!((s.best_held(0.0), s.worst_held(0.0)), (Some(1), Some(3)));
+    s.customers[0].facts.portion = 0.1; // its one place is more for its share, but it is not the flood
+    assert_eq!(s.worst_held(0.0), Some(3));
 }
 
 #[test]
