Places in the hold last longer where cores come free seldom

Cause: a core comes free every mean run over cores: 50 to 100 ms on six cores, 150 to 300 ms on two. A sixth of the time to the aim (233 to 400 ms, reading included) then ended before the hold had anything to choose from, and tasks read late were refused on sight, whichever they were.

Change: half of what a core takes to come free is added to the sixth. It covers slower machines and dearer work too, which free cores more seldom; it could hurt where what waits is late anyway, which the reckoning of hopeless work takes out.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -474,11 +474,11 @@
                 continue;
             }
             let worthless = self.cores_full && now >= task.aim && self.stage(&task).facts.late_share <= 0.0;
-            // Early is a sixth of the time in which the answer earns in full: by what a caller waits in
-            // all, the stages with patient callers took the places of the others.
-            let waits_long = now - task.arrived > (task.aim - task.arrived) / 6.0;
+            // Early is a sixth of the time to the aim (by a caller's whole wait, stages with patient callers
+            // took the places) and half of what a core takes to come free (all of it is too late on many).
+            let early = (task.aim - task.arrived) / 6.0 + 0.5 * self.run_ms / self.told.cores;
             let useless = match task.state {
-                State::Held => self.hopeless(&task, now) || (self.cores_full && waits_long),
+                State::Held => self.hopeless(&task, now) || (self.cores_full && now - task.arrived > early),
                 // Work that earns nothing any more takes full cores from work that does. With room it goes
                 // on: a late answer is no loss, work thrown away is.
                 State::Running | State::Calling => {
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -156,6 +156,17 @@
     assert!(m.0.contains(&"run 11".to_string()));
 }
 
+#[test]
+fn a_place_in_the_hold_lasts_longer_where_cores_come_free_seldom() {
+    for (cores, rejected) in [(6.0, 1), (2.0, 0)] {
+        let (mut s, mut m) = (server(Told { cores, ..told() }), Log::default());
+        s.run_ms = 600.0;
+        (0..=cores as usize).for_each(|n| put(&mut s, if n == 0 { State::Held } else { State::Running }, 0));
+        s.beat(420.0, Gauges { cpu: Some(1.0), ..Gauges::default() }, &mut m); // a sixth of 2 s is 333 ms
+        assert_eq!(m.count("reject"), rejected, "{cores} cores");
+    }
+}
+
 #[test]
 fn runs_give_way_when_reading_backs_up() {
     let (mut s, mut m) = (server(told()), Log::default());
