Cores count as full with half a core idle, however many there are

Cause: nine tenths of the gauge was chosen for six cores, as half a core in six idle. Of two cores it leaves a fifth of one idle, and the gauge is the mean of half a second: by the time it reads so, tasks crowd cores that lose by it.

Change: full is 1 - 0.5 / cores of the gauge, 0.75 of two, 0.92 of six. One rule for any number of cores; it should also help machines with one. It could hurt a machine with few cores that runs well at four fifths for long: its limit then follows the gradient, and what is over it is refused sooner.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -18,7 +18,6 @@
 const BEAT: f64 = 10.0; // how often time is looked at: well inside the slack that an answer may have
 const UPDATE: f64 = 500.0; // the design's interval
 const WINDOWS: usize = 8; // kept for: 4 s, several times as long as a task runs, so that a p95 has samples
-const CORES_FULL: f64 = 0.9; // of the cpu gauge: with half a core in six idle a queue is forming
 const FINEST: f64 = 0.01; // of spreads: they hold times in ms and ratios around 1
 const STEP: f64 = 1.08; // of spreads: finer than two p95s of a few hundred runs differ by chance
 const FEW: f64 = 0.1; // of the tasks read; by trial: 0.05 leaves others idle, 0.2 costs reading in overload
@@ -451,7 +450,8 @@
         // the p95 of calm ones, the cores are full whatever it reads.
         let crowded = self.in_state(State::Running) as f64 >= self.told.cores;
         let slow = crowded && self.pace > 1.0;
-        self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= CORES_FULL || slow);
+        // With half a core idle, of however many, a queue is forming: nine tenths of two is too late, by trial.
+        self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= 1.0 - 0.5 / self.told.cores || slow);
         if now >= self.next_update {
             self.update(now);
             self.say(m);
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -199,6 +199,15 @@
     assert!(s.cores_full);
 }
 
+#[test]
+fn cores_are_full_with_half_a_core_idle_however_many_there_are() {
+    for (cores, cpu, full) in [(2.0, 0.8, true), (2.0, 0.7, false), (6.0, 0.8, false), (6.0, 0.92, true)] {
+        let (mut s, mut m) = (server(Told { cores, ..told() }), Log::default());
+        s.beat(10.0, Gauges { cpu: Some(cpu), ..Gauges::default() }, &mut m);
+        assert_eq!(s.cores_full, full, "{cpu} of {cores} cores");
+    }
+}
+
 #[test]
 fn with_full_cores_nothing_starts_that_would_end_late() {
     let (mut s, mut m) = (server(told()), Log::default());
