Runs give way to reading only when tasks lie unread for over half a run

Found by switching single rules off.

Change: a backlog must also be worth half a run. What is guarded against stays: reading starved by runs in retry storms and tenant bursts. It hurts where even half a run unread makes tasks late (short aims beside long runs).

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -97,10 +97,10 @@
             return self.limit;
         }
         // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
-        // for over twice what they do at best, runs give way: to half, or less where reading costs under an
-        // eighth of a run (by trial). Where it is dear, faster rejections only bring more of it.
+        // for over half a run, and twice what they do at best, runs give way: to half, or less where reading
+        // costs under an eighth of a run (by trial). Where it is dear, quick rejections bring more of it.
         let least = (4.0 * self.unread_best / self.run_ms).clamp(1.0 / self.told.cores, 0.5);
-        let reading = (2.0 * self.unread_best / self.unread).clamp(least, 1.0);
+        let reading = ((2.0 * self.unread_best).max(0.5 * self.run_ms) / self.unread).clamp(least, 1.0);
         (self.limit / 2.0).max(self.told.cores) * reading
     }
 
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -175,8 +175,9 @@
     assert_eq!((s.unread, s.unread_best, s.width()), (20.0, 20.0, 6.0));
     s.unread = 50.0;
     assert!((s.width() - 4.8).abs() < 1e-9);
+    s.run_ms = 100.0; // to lie unread for half of that is no backlog
+    assert_eq!(s.width(), 6.0);
     s.unread = 5_000.0;
-    s.run_ms = 100.0;
     assert_eq!(s.width(), 3.0);
     s.run_ms = 320.0; // reading is cheap, at a sixteenth of a run
     assert_eq!(s.width(), 1.5);
