Health is bad only while leaving: a slow server stays in the list

Cause: the rule that told health checks of a crawling server (pace over twice the base at the floor, for 4 to 8 s) was made on six cores. On two, runs beside each other look slow often, the list follows a second or two late, and what leaves one server falls on others about as crowded. Found by switching single rules off; it answers the suspicion that half a fleet calling itself unwell sends its traffic to the other half.

Change: the rule goes. A slow server still cuts to its floor, rejects what would be late, lets it go elsewhere and asks callers to stay away.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -455,17 +455,6 @@
         if now >= self.next_update {
             self.update(now);
             self.say(m);
-            // So slow that even reading backs up, and what is read is late: only the callers' lists can
-            // help. Not for a crowd, where all would say so together; by chance between 4 and 8 s, about
-            // what a list takes to follow twice, so that not all come back together. Then it is tried
-            // again.
-            if self.slow() && self.pace > 2.0 {
-                self.unwell_until = now + 4000.0 * (1.0 + self.chance.next());
-            }
-            if self.leaving.is_none() && self.well == (now < self.unwell_until) {
-                self.well = !self.well;
-                m.health(self.well, true);
-            }
             self.next_update = now + UPDATE;
         }
         for n in self.live.clone() {
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -137,12 +137,12 @@
     pub(crate) busiest: [f64; 2],
     /// The median of recent ratios; 0 while nothing is known.
     pub(crate) pace: f64,
-    /// Tasks by state.
     /// How long tasks lay unread of late, and at best.
     pub(crate) unread: f64,
     pub(crate) unread_best: f64,
     /// How long runs take of late.
     pub(crate) run_ms: f64,
+    /// Tasks by state.
     pub(crate) count: [usize; 6],
     pub(crate) memory: f64,
     /// Remembered fingerprints, by when they lapse.
@@ -163,9 +163,6 @@
     /// What a run could have had of a core since the start.
     pub(crate) core_time: f64,
     pub(crate) last_look: f64,
-    /// As health checks are told.
-    pub(crate) well: bool,
-    pub(crate) unwell_until: f64,
     pub(crate) credit: f64,
     /// Tasks from each, older ones fading by a tenth an update.
     pub(crate) callers: Vec<f64>,
@@ -219,8 +216,6 @@
             last_beat: now,
             core_time: 0.0,
             last_look: now,
-            well: true,
-            unwell_until: now,
             credit: 0.0,
             callers: Vec::new(),
             rejected: Ring::default(),
