Idle connections close sooner the more room the cores have, where callers seldom come again

Change: while under half of the tasks come from callers heard from in the last 20 s or so, the idle limit follows the cpu gauge: cut by up to a half each update below three quarters, doubled at most above, from half a second to the callers' own limit. Machine::close_idle and the idle time told are new. It also covers a fleet that grows or callers that multiply; it could hurt where a handshake costs far more than a task and cores idle anyway.

--- a/crates/asterdale-simhost/src/facts.rs
+++ b/crates/asterdale-simhost/src/facts.rs
@@ -61,6 +61,7 @@
         calls_share: number(&extra["callsOut"]),
         calls_window_ms: ms(&extra["depWindowNs"]),
         linger_ms: ms(&extra["lingersNs"]),
+        idle_ms: ms(&extra["idleNs"]),
         fresh_ms: ms(&extra["freshForNs"]),
         halt: match extra["halt"].as_str() {
             Some("drop") => Halt::Drop,
--- a/crates/asterdale-simhost/src/host.rs
+++ b/crates/asterdale-simhost/src/host.rs
@@ -87,6 +87,9 @@
     fn health(&mut self, good: bool, stored: bool) {
         self.reply.action(self.names.instance, 15, &[&[u8::from(good), u8::from(stored)]]);
     }
+    fn close_idle(&mut self, after_ms: f64) {
+        self.reply.action(self.names.instance, 4, &[&nanos(after_ms)]);
+    }
     fn wake(&mut self, at_ms: f64) {
         self.reply.action(self.names.instance, 2, &[&nanos(at_ms), &0u32.to_be_bytes()]);
     }
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -271,6 +271,8 @@
         if self.callers.len() <= asked.caller {
             self.callers.resize(asked.caller + 1, 0.0);
         }
+        // A hundredth is left of a task after some 20 s, about as long as callers keep connections.
+        self.again += 0.05 * (f64::from(self.callers[asked.caller] > 0.01) - self.again);
         self.callers[asked.caller] += 1.0;
         if asked.repeat && (repeat == Repeat::Fingerprinted || self.told.fresh_ms > 0.0) {
             self.enter(n, State::Joined);
@@ -452,6 +454,7 @@
         let slow = crowded && self.pace > 1.0;
         // With half a core idle, of however many, a queue is forming: nine tenths of two is too late, by trial.
         self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= 1.0 - 0.5 / self.told.cores || slow);
+        self.cpu = gauges.cpu.unwrap_or(1.0);
         if now >= self.next_update {
             self.update(now);
             self.say(m);
@@ -514,13 +517,11 @@
         if self.told.free_value == FreeValue::Credit {
             // Cut by a share while tasks are turned away, else grown by one a caller; between one task a
             // core and twice what the limit lets run beside the calls. A slow server asks for less by as
-            // much as it is slow, and never for nothing: with no task at all it could not see that it has
-            // recovered. The callers are reckoned as many as would send all of it were each like the
-            // busiest: traffic is seldom spread evenly, and those who send little don't use their part.
+            // much as it is slow, and never for nothing: it could not see that it has recovered. Callers
+            // are reckoned as many as would send all of it were each like the busiest: few are alike.
             let (sent, most) =
                 self.callers.iter().fold((0.0, 0.0), |(a, b): (f64, f64), &n| (a + n, b.max(n)));
             let callers = if most > 0.0 { sent / most } else { self.told.callers.max(1.0) };
-            self.callers.iter_mut().for_each(|n| *n *= 0.9);
             let at_call = (self.in_state(State::Parked) + self.in_state(State::Calling)) as f64;
             let next = if self.turned_away > 0 { self.credit * 0.8 } else { self.credit + 1.0 };
             let most = CREDIT * (self.limit + at_call) / callers;
@@ -528,6 +529,16 @@
             m.advertise(self.credit / self.pace.max(1.0));
         }
         self.turned_away = 0;
+        self.callers.iter_mut().for_each(|n| *n *= 0.9);
+        // Where few callers come again, connections kept for them fill the table and shut others out: the
+        // more room on the cores the sooner they close. With busy cores (three quarters, by trial) they
+        // stay: a new one costs work, and a full table is the cheapest refusal.
+        let room = if self.again > 0.5 { 2.0 } else { (self.cpu / 0.75).powi(2).clamp(0.5, 2.0) };
+        let idle = (room * self.idle).clamp(self.told.idle_ms.min(500.0), self.told.idle_ms);
+        if idle != self.idle {
+            self.idle = idle;
+            m.close_idle(idle);
+        }
     }
 
     // ---- Calls below ----
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -527,6 +527,28 @@
     assert!(s.call_ms >= 200.0);
 }
 
+#[test]
+fn idle_connections_are_closed_sooner_while_cores_have_room_and_callers_do_not_come_again() {
+    let (mut s, mut m) = (server(told()), Log::default());
+    s.cpu = 0.1;
+    s.say(&mut m);
+    assert_eq!(m.count("close"), 0); // for all it knows callers come again
+    for caller in 0..30 {
+        s.take(0.0, Arrival { caller, ..arrival(0) }, &mut m);
+    }
+    (0..10).for_each(|_| s.say(&mut m));
+    assert_eq!((s.idle, m.count("close 15000"), m.count("close 500")), (500.0, 1, 1));
+    s.cpu = 1.0;
+    (0..10).for_each(|_| s.say(&mut m));
+    assert_eq!(s.idle, 30_000.0);
+    for _ in 0..30 {
+        s.take(0.0, arrival(0), &mut m);
+    }
+    s.cpu = 0.1;
+    s.say(&mut m);
+    assert!(s.again > 0.5 && s.idle == 30_000.0);
+}
+
 #[test]
 fn credit_is_cut_by_a_share_grows_by_one_and_keeps_its_floor() {
     let (mut s, mut m) = (server(Told { free_value: FreeValue::Credit, ..told() }), Log::default());
--- a/crates/asterdale/src/decide/tests/support.rs
+++ b/crates/asterdale/src/decide/tests/support.rs
@@ -30,6 +30,7 @@
         calls_share: 0.0,
         calls_window_ms: 5_000.0,
         linger_ms: 200.0,
+        idle_ms: 30_000.0,
         fresh_ms: 0.0,
         halt: Halt::Drop,
         free_value: FreeValue::Unused,
@@ -131,6 +132,9 @@
     fn health(&mut self, good: bool, _: bool) {
         self.0.push(format!("health {good}"));
     }
+    fn close_idle(&mut self, after_ms: f64) {
+        self.0.push(format!("close {after_ms}"));
+    }
     fn wake(&mut self, _: f64) {
         self.0.push("wake".into());
     }
--- a/crates/asterdale/src/machine.rs
+++ b/crates/asterdale/src/machine.rs
@@ -34,6 +34,8 @@
     fn advertise(&mut self, value: f64);
     /// What health checks are told from here on. `stored` answers them without doing real work.
     fn health(&mut self, good: bool, stored: bool);
+    /// Close connections that have carried nothing for so many milliseconds.
+    fn close_idle(&mut self, after_ms: f64);
     /// Call `Server::beat` at this time or soon after.
     fn wake(&mut self, at_ms: f64);
 }
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -166,6 +166,12 @@
     pub(crate) credit: f64,
     /// Tasks from each, older ones fading by a tenth an update.
     pub(crate) callers: Vec<f64>,
+    /// The part of late tasks whose caller had been heard from not long before.
+    pub(crate) again: f64,
+    /// The cpu gauge as last read.
+    pub(crate) cpu: f64,
+    /// Connections that carry nothing for this long are closed.
+    pub(crate) idle: f64,
     /// Of late.
     pub(crate) rejected: Ring,
     /// Since the last update.
@@ -218,6 +224,9 @@
             last_look: now,
             credit: 0.0,
             callers: Vec::new(),
+            again: 1.0,
+            cpu: 1.0,
+            idle: told.idle_ms,
             rejected: Ring::default(),
             turned_away: 0,
             told,
--- a/crates/asterdale/src/told.rs
+++ b/crates/asterdale/src/told.rs
@@ -113,6 +113,8 @@
     pub calls_window_ms: f64,
     /// How long a call that was given up can stay below.
     pub linger_ms: f64,
+    /// How long callers keep a connection that carries nothing; 0 if that is not told.
+    pub idle_ms: f64,
     /// How long a read's answer may serve other tasks; 0 for never.
     pub fresh_ms: f64,
     /// What running work can be made to do.
