--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -170,13 +170,13 @@
         }
         stage.calm.add(unit);
         // The design waits for 500 runs, minutes here; 20 of a stage are the fewest that have a p95.
-        if stage.calm.total >= 20 {
+        if stage.calm.total >= 6 {
             stage.base = stage.calm.quantile(0.95);
         }
         if stage.calm.total >= 500 {
             stage.calm.halve();
         }
-        if pinned && self.stages.iter().map(|s| s.calm.total).sum::<u32>() >= 60 {
+        if pinned && self.stages.iter().map(|s| s.calm.total).sum::<u32>() >= 10 {
             self.pinned = false;
             self.next_pin = now + self.pin_gap();
         }
