Being cold is no reason to send rejected tasks elsewhere

Change: only few rejections, or a pace that tells of a slow machine, let a task go elsewhere. It also covers a crash of many and a fleet that starts at once.

The jitter's comment no longer drags those below it to the right.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -170,13 +170,13 @@
         }
         stage.calm.add(unit);
         // The design waits for 500 runs, minutes here; 20 of a stage are the fewest that have a p95.
-        if stage.calm.total >= 6 {
+        if stage.calm.total >= 20 {
             stage.base = stage.calm.quantile(0.95);
         }
         if stage.calm.total >= 500 {
             stage.calm.halve();
         }
-        if pinned && self.stages.iter().map(|s| s.calm.total).sum::<u32>() >= 10 {
+        if pinned && self.stages.iter().map(|s| s.calm.total).sum::<u32>() >= 60 {
             self.pinned = false;
             self.next_pin = now + self.pin_gap();
         }
@@ -284,7 +284,7 @@
         let late = self.leaving.is_some_and(|(notice, _)| task.arrived > notice + self.told.drain_grace_ms);
         let entry = if repeat == Repeat::Fingerprinted { self.told.entry_kb } else { 0.0 };
         if late || self.memory + entry > MEMORY_PART * self.told.memory_kb {
-            self.give_up(n, now, m);
+            self.give_up(n, m);
             return Handle(n);
         }
         // Remembered before it can run: a repeat of a task that is still held must be known too.
@@ -318,7 +318,7 @@
                 break;
             }
             if self.hopeless(&task, now) {
-                self.give_up(n, now, m);
+                self.give_up(n, m);
                 continue;
             }
             self.enter(n, State::Running);
@@ -331,7 +331,7 @@
         let places = self.told.cores.max(self.limit / 2.0);
         while self.cores_full && self.in_state(State::Held) as f64 > places {
             let Some(n) = self.worst_held(now) else { break };
-            self.give_up(n, now, m);
+            self.give_up(n, m);
         }
     }
 
@@ -385,14 +385,14 @@
     }
 
     /// Answers at once a task that will not be finished here, and stops its work where that is possible.
-    fn give_up(&mut self, n: u32, now: f64, m: &mut dyn Machine) {
+    fn give_up(&mut self, n: u32, m: &mut dyn Machine) {
         let task = self.tasks[n as usize];
         let restartable = self.restartable(&task);
         if !task.answered {
             if task.ran && (!restartable || task.state == State::Joined) {
                 m.abandon(Handle(n));
             } else {
-                let (last, stay) = self.advice(now);
+                let (last, stay) = self.advice();
                 m.reject(Handle(n), last, stay);
                 self.turned_away += 1;
                 self.rejected.add(1.0);
@@ -419,21 +419,21 @@
     }
 
     /// What a rejection says: whether this try was the last, and how long to stay away.
-    fn advice(&mut self, now: f64) -> (bool, f64) {
+    fn advice(&mut self) -> (bool, f64) {
         let most = self.told.advice_ms;
         if self.leaving.is_some() {
             return (false, most);
         }
-        let stay = most * (0.5 + 0.5 * self.chance.next()); // jitter: not all come back together
-                                                            // Few rejections of late: the crowd is ours alone, or short. Cold, or slow by its pace: the trouble
-                                                            // is ours. Then the task may go elsewhere. Else those who share our balancers are likely as full,
-                                                            // and a walk through them only costs reading.
+        let jitter = 0.5 + 0.5 * self.chance.next(); // so that not all come back together
+        let stay = most * jitter;
+        // Few rejections of late: the crowd is ours alone, or short. Slow by its pace: the trouble is ours.
+        // Then the task may go elsewhere. Else those who share our balancers are likely as full, and a walk
+        // through them only costs reading. Being cold is no reason: after a release or a crash many are.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
-        let ours = share <= FEW || self.warmth(now) < 1.0 || self.slow();
-        // Where no credit steers callers, the stay has to: a long one moves work to those with room.
-        // Else it is as long as rejections are many, for it would leave cores idle between two short
-        // crowds.
+        let ours = share <= FEW || self.slow();
+        // Where no credit steers callers, the stay has to: a long one moves work to those with room. Else it
+        // is as long as rejections are many: longer, it would leave cores idle between two short crowds.
         let steered = self.told.free_value == FreeValue::Credit;
         (!ours, if ours && !steered { stay } else { share * stay })
     }
@@ -452,7 +452,7 @@
         // the p95 of calm ones, the cores are full whatever it reads.
         let crowded = self.in_state(State::Running) as f64 >= self.told.cores;
         let slow = crowded && self.pace > 1.0;
-        // With half a core idle, of however many, a queue is forming: nine tenths of two is too late, by trial.
+        // With half a core idle, of however many, a queue is forming; of two, nine tenths is late, by trial.
         self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= 1.0 - 0.5 / self.told.cores || slow);
         self.cpu = gauges.cpu.unwrap_or(1.0);
         if now >= self.next_update {
@@ -479,7 +479,7 @@
                 _ => false,
             };
             if useless || now + BEAT >= task.due {
-                self.give_up(n, now, m);
+                self.give_up(n, m);
             }
         }
         self.place_calls(now, m);
@@ -614,7 +614,7 @@
                 m.skip_call(Handle(n));
             } else if spare <= 0.0 {
                 // It earns nothing more: it would hold memory and a place, and take a call from others.
-                self.give_up(n, now, m);
+                self.give_up(n, m);
             } else if now >= task.not_before {
                 let patience = spare.min(self.call_room(now) - self.told.linger_ms);
                 if patience >= spare.min(4.0 * self.call_ms).max(BEAT) {
@@ -697,7 +697,7 @@
             if server.stage(&task).facts.without_call > 0.0 {
                 server.tasks[self.index()].tries = u32::MAX; // so it is left out
             } else {
-                server.give_up(self.0, now, m);
+                server.give_up(self.0, m);
             }
         }
         server.place_calls(now, m);
@@ -725,7 +725,7 @@
     pub fn caller_left(self, server: &mut Server, now: f64, m: &mut dyn Machine) {
         server.pass_time(now);
         server.tasks[self.index()].answered = true;
-        server.give_up(self.0, now, m);
+        server.give_up(self.0, m);
         server.pump(now, m);
     }
 }
