--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -413,11 +413,6 @@
         }
     }
 
-    /// The limiter has cut the crowd to its floor and runs are still slow: it is the machine, not the crowd.
-    fn slow(&self) -> bool {
-        self.limit < 1.5 * self.told.cores && self.pace > 1.0
-    }
-
     /// What a rejection says: whether this try was the last, and how long to stay away.
     fn advice(&mut self) -> (bool, f64) {
         let most = self.told.advice_ms;
@@ -426,12 +421,12 @@
         }
         let jitter = 0.5 + 0.5 * self.chance.next(); // so that not all come back together
         let stay = most * jitter;
-        // Few rejections of late: the crowd is ours alone, or short. Slow by its pace: the trouble is ours.
-        // Then the task may go elsewhere. Else those who share our balancers are likely as full, and a walk
-        // through them only costs reading. Being cold is no reason: after a release or a crash many are.
+        // Few rejections of late: the crowd is ours alone, or short, and the task may go elsewhere. Else those
+        // who share our balancers are likely as full, and a walk through them only costs reading. To be cold
+        // or slow is no reason: after a release many are cold, and when all work is dearer all look slow.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
-        let ours = share <= FEW || self.slow();
+        let ours = share <= FEW;
         // Where no credit steers callers, the stay has to: a long one moves work to those with room. Else it
         // is as long as rejections are many: longer, it would leave cores idle between two short crowds.
         let steered = self.told.free_value == FreeValue::Credit;
