One core keeps a run; a gauge that is no number is left out

A cpu gauge that is not a number stayed in the idle limit for good.

Change: at least one task may run whatever backs up; such a gauge counts as absent. The customers' portion, read by nothing since places are lost by count, is gone from the plain types and the adapter.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -99,9 +99,10 @@
         // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
         // for over half a run, and twice what they do at best, runs give way: to half, or less where reading
         // costs under an eighth of a run (by trial). Where it is dear, quick rejections bring more of it.
-        let least = (4.0 * self.unread_best / self.run_ms).clamp(1.0 / self.told.cores, 0.5);
+        let one = (1.0 / self.told.cores).min(0.5);
+        let least = (4.0 * self.unread_best / self.run_ms).clamp(one, 0.5);
         let reading = ((2.0 * self.unread_best).max(0.5 * self.run_ms) / self.unread).clamp(least, 1.0);
-        (self.limit / 2.0).max(self.told.cores) * reading
+        ((self.limit / 2.0).max(self.told.cores) * reading).max(1.0) // one core must not be left with none
     }
 
     fn update(&mut self, now: f64) {
@@ -449,7 +450,7 @@
         let slow = crowded && self.pace > 1.0;
         // With half a core idle, of however many, a queue is forming; of two, nine tenths is late, by trial.
         self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= 1.0 - 0.5 / self.told.cores || slow);
-        self.cpu = gauges.cpu.unwrap_or(1.0);
+        self.cpu = gauges.cpu.filter(|cpu| cpu.is_finite()).unwrap_or(1.0);
         if now >= self.next_update {
             self.update(now);
             self.say(m);
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -185,7 +185,7 @@
         let share = |facts: &CustomerFacts| Customer { facts: facts.clone(), read: Ring::default(), held: 0 };
         let mut customers: Vec<Customer> = told.customers.iter().map(share).collect();
         if customers.is_empty() {
-            customers.push(share(&CustomerFacts { allowance_per_s: f64::INFINITY, portion: 1.0 }));
+            customers.push(share(&CustomerFacts { allowance_per_s: f64::INFINITY }));
         }
         Server {
             stages: told.stages.iter().map(row).collect(),
--- a/crates/asterdale/src/told.rs
+++ b/crates/asterdale/src/told.rs
@@ -37,8 +37,6 @@
 pub struct CustomerFacts {
     /// Tasks a second, over the whole fleet, that count as within its share.
     pub allowance_per_s: f64,
-    /// Its part of the service.
-    pub portion: f64,
 }
 
 /// What running work can be made to do.
