Idle connections close by half of the callers' limit where few come again

Change: while under half of the tasks come from callers heard from lately, the limit stays at or under half of the callers' own. It hurts callers that come about every twenty seconds, by a new connection each time.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -530,7 +530,9 @@
         // more room on the cores the sooner they close. With busy cores (three quarters, by trial) they
         // stay: a new one costs work, and a full table is the cheapest refusal.
         let room = if self.again > 0.5 { 2.0 } else { (self.cpu / 0.75).powi(2).clamp(0.5, 2.0) };
-        let idle = (room * self.idle).clamp(self.told.idle_ms.min(500.0), self.told.idle_ms);
+        // At most half of the callers' own limit: a cut acts only from the next use of a connection on.
+        let most = if self.again > 0.5 { 1.0 } else { 0.5 } * self.told.idle_ms;
+        let idle = (room * self.idle).clamp(most.min(500.0), most);
         if idle != self.idle {
             self.idle = idle;
             m.close_idle(idle);
