--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -20,6 +20,7 @@
 use crate::gather;
 use crate::host::Mail;
 use crate::log::{Kind, Log};
+use crate::start::Start;
 
 /// Open requests that a connection carries, by the platform's protocol.
 const MOST_OPEN: usize = 32;
@@ -100,23 +101,17 @@
 }
 
 impl Edge {
-    /// An edge that will listen at this address.
-    pub fn new(
-        listen: SocketAddr,
-        descriptors: usize,
-        facts: Arc<Facts>,
-        host: Sender<Mail>,
-        counters: Arc<Counters>,
-        log: Log,
-    ) -> Edge {
+    /// An edge that will listen where the start file says.
+    pub fn new(start: &Start, host: Sender<Mail>, counters: Arc<Counters>, log: Log) -> Edge {
+        let facts = start.facts.clone();
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(1000.0, f64::max);
         Edge {
-            listen,
+            listen: start.listen,
             host,
             counters,
             log,
             // Edge nodes open half of the descriptors at most; a quarter stays for all else.
-            most_connections: descriptors * 3 / 4,
+            most_connections: start.descriptors * 3 / 4,
             longest: Duration::from_millis(longest as u64),
             idle_ms: AtomicU64::new(facts.told.idle_ms as u64),
             facts,
@@ -316,7 +311,7 @@
         loop {
             loop {
                 let open = peer.open.load(Ordering::Relaxed) + requests.begun();
-                let step = match incoming.next() {
+                let step = match incoming.take() {
                     Ok(Some(record)) => requests.take(record, open < MOST_OPEN),
                     Ok(None) => break,
                     Err(what) => Err(what),
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -18,6 +18,7 @@
 use crate::log::{Kind, Log};
 use crate::records::{Call, Records};
 use crate::runtime::{self, How, Line};
+use crate::start::Start;
 
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
 /// that is shorter by this, or by a quarter of a very short one.
@@ -142,6 +143,20 @@
     log: Log,
 }
 
+/// The actors around the host, and what all share.
+pub struct Around {
+    /// Makes calls.
+    pub records: Records,
+    /// Has the connections.
+    pub edge: Arc<Edge>,
+    /// Tells the list's actor that the backend leaves.
+    pub leaving: Sender<()>,
+    /// Counts.
+    pub counters: Arc<Counters>,
+    /// Has lines.
+    pub log: Log,
+}
+
 /// The actor.
 pub struct Host {
     server: Option<Server>,
@@ -320,17 +335,10 @@
 }
 
 impl Host {
-    /// A host with nothing in it. `leaving` tells the list's actor that the backend leaves.
-    pub fn new(
-        facts: Arc<Facts>,
-        stop_ms: f64,
-        memory: usize,
-        records: Records,
-        edge: Arc<Edge>,
-        leaving: Sender<()>,
-        counters: Arc<Counters>,
-        log: Log,
-    ) -> Host {
+    /// A host with nothing in it.
+    pub fn new(start: &Start, around: Around) -> Host {
+        let Around { records, edge, leaving, counters, log } = around;
+        let facts = start.facts.clone();
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(0.0, f64::max);
         let clock = Clock { unix: unix_ms(), began: Instant::now() };
         Host {
@@ -344,7 +352,7 @@
                 serial: 0,
                 arriving: None,
                 // A quarter of the process's memory is for results.
-                fingerprints: Fingerprints::new(memory / 4, longest),
+                fingerprints: Fingerprints::new(start.memory / 4, longest),
                 joined: VecDeque::new(),
                 not_begun: VecDeque::new(),
                 link: Link::default(),
@@ -360,7 +368,7 @@
             gauges: Gauges::default(),
             callers: HashMap::new(),
             checks: HashMap::new(),
-            stop_ms,
+            stop_ms: start.stop_ms,
             leaving,
             leave_by: None,
         }
@@ -444,8 +452,9 @@
             let mut told = self.tasks.facts.told.clone();
             told.cold |= cold;
             slog::info!(self.tasks.log.lines, "host: begun"; "cold" => told.cold, "ago_ms" => ago_ms);
-            let at = self.tasks.now - ago_ms.clamp(0.0, 60_000.0);
-            self.server = Some(Server::start(told, at, &mut self.tasks));
+            // A cold server warms from the runtime's start on.
+            let since = if told.cold { ago_ms.clamp(0.0, told.cold_ms) } else { 0.0 };
+            self.server = Some(Server::start(told, self.tasks.now - since, &mut self.tasks));
         }
     }
 
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -22,7 +22,7 @@
 
 use counters::Counters;
 use edge::Edge;
-use host::{Host, Mail};
+use host::{Around, Host, Mail};
 use log::Log;
 use records::Records;
 use start::Start;
@@ -51,29 +51,20 @@
     let (mail, mailbox) = bounded(WAITING);
     let (leaving, left) = bounded(1);
     let counters = Arc::new(Counters::default());
-    let facts = Arc::new(start.facts);
-    let edge = Edge::new(
-        start.listen,
-        start.descriptors,
-        facts.clone(),
-        mail.clone(),
-        counters.clone(),
-        log.clone(),
-    );
-    let edge = Arc::new(edge);
+    let edge = Arc::new(Edge::new(&start, mail.clone(), counters.clone(), log.clone()));
     let listener = edge.bind().map_err(|e| format!("listen: {}: {e}", start.listen))?;
     let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     let host = mail.clone();
     spawn("signals", move || signals(caught, &host))?;
     let (host, counted, lines) = (mail.clone(), counters.clone(), log.clone());
     spawn("runtime", move || runtime::link(start.runtime, &host, &counted, &lines))?;
-    let (counted, lines) = (counters.clone(), log.clone());
-    spawn("registry", move || registry::report(start.registry, &start.name, &left, &counted, &lines))?;
+    let (counted, lines, name) = (counters.clone(), log.clone(), start.name.clone());
+    spawn("registry", move || registry::report(start.registry, &name, &left, &counted, &lines))?;
     let listening = edge.clone();
     spawn("listener", move || listening.accept(&listener))?;
     let records = Records::new(start.records, mail, counters.clone());
-    let mut host =
-        Host::new(facts, start.stop_ms, start.memory, records, edge, leaving, counters, log.clone());
+    let around = Around { records, edge, leaving, counters, log: log.clone() };
+    let mut host = Host::new(&start, around);
     slog::info!(log.lines, "host: serving"; "at" => %start.listen);
     host.serve(&mailbox);
     host.report();
--- a/crates/asterdale-daemon/src/start.rs
+++ b/crates/asterdale-daemon/src/start.rs
@@ -1,6 +1,7 @@
 //! What the program is told at its start: the variable that names the file, and what the file holds.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use asterdale_facts::Facts;
 use serde_json::Value;
@@ -25,7 +26,7 @@
     /// Descriptors of this process.
     pub descriptors: usize,
     /// What the decisions are told.
-    pub facts: Facts,
+    pub facts: Arc<Facts>,
 }
 
 /// Reads the file that `ROUTER_CONFIG` names. An error names the field.
@@ -74,7 +75,7 @@
         stop_ms: positive("stop_ms", &all["stop_ms"])?,
         memory: (positive("limits.memory_mb", &all["limits"]["memory_mb"])? * 1e6) as usize,
         descriptors: positive("limits.sockets", &all["limits"]["sockets"])? as usize,
-        facts,
+        facts: Arc::new(facts),
     })
 }
 
--- a/crates/asterdale-fastcgi/src/answer.rs
+++ b/crates/asterdale-fastcgi/src/answer.rs
@@ -95,7 +95,7 @@
         for part in bytes.chunks(4096) {
             incoming.room()[..part.len()].copy_from_slice(part);
             incoming.filled(part.len());
-            while let Some(record) = incoming.next().unwrap() {
+            while let Some(record) = incoming.take().unwrap() {
                 got.push((record.kind, record.id, record.content.to_vec()));
             }
         }
--- a/crates/asterdale-fastcgi/src/record.rs
+++ b/crates/asterdale-fastcgi/src/record.rs
@@ -80,7 +80,7 @@
     }
 
     /// Takes the next whole record, if there is one.
-    pub fn next(&mut self) -> Result<Option<Record<'_>>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<Record<'_>>, Malformed> {
         let Some(whole) = self.whole() else { return Ok(None) };
         let head = &self.bytes[self.from..];
         if head[0] != 1 {
@@ -113,7 +113,7 @@
             for part in bytes.chunks(cut) {
                 incoming.room()[..part.len()].copy_from_slice(part);
                 incoming.filled(part.len());
-                while let Some(record) = incoming.next().unwrap() {
+                while let Some(record) = incoming.take().unwrap() {
                     got.push((record.kind, record.id, record.content.to_vec()));
                 }
             }
@@ -127,11 +127,11 @@
         let mut incoming = Incoming::default();
         incoming.room()[..8].copy_from_slice(&[1, 5, 0, 1, 255, 255, 255, 0]);
         incoming.filled(8);
-        assert_eq!(incoming.next(), Ok(None));
+        assert_eq!(incoming.take(), Ok(None));
         let room = incoming.room().len();
         assert_eq!(room, 65_535 + 255);
         incoming.filled(room);
-        assert_eq!(incoming.next().unwrap().unwrap().content.len(), 65_535);
+        assert_eq!(incoming.take().unwrap().unwrap().content.len(), 65_535);
         assert_eq!(incoming.room().len(), ROOM);
     }
 
@@ -140,6 +140,6 @@
         let mut incoming = Incoming::default();
         incoming.room()[..8].copy_from_slice(b"GET / HT");
         incoming.filled(8);
-        assert_eq!(incoming.next(), Err(Malformed::Version(b'G')));
+        assert_eq!(incoming.take(), Err(Malformed::Version(b'G')));
     }
 }
