A backend restarted before its runtime is up takes part again

Cause: Host::linked asked for the gauges that end the replay together with `sync`. A runtime that is not up yet turns that down with a nack, so the replay never ended and no command went out. Checked in the log: the nack stands 14 s before `ready`. Now the question goes out on `ready`, after which the missed notices come. Tests over sockets with small stand-ins for edge node, runtime, records and registry; their runtime turns gauges down until it is up.

Also: a stamp that says a task lay unread for longer than any client waits is not taken for a backlog; the requests of a connection that begin and never end share a bound on memory; a deep check without a verdict ends; tests listen on loopback addresses of their own (a free port could be given to two).

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -23,9 +23,14 @@
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
 /// that is shorter by this, or by a quarter of a very short one.
 const WAY_OUT_MS: f64 = 300.0;
-/// Fingerprints and gauges kept for nobody are looked for this often.
+/// A deep check without a verdict fails after so long; nobody waits for it any more.
+const LONGEST_CHECK: Duration = Duration::from_secs(10);
+/// What is kept for nobody is looked for this often.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Marks the gauges whose coming shows that all missed notices were sent.
+const REPLAY: &str = "replay";
+
 /// What comes to the host.
 pub enum Mail {
     /// A task has come whole.
@@ -143,6 +148,13 @@
     log: Log,
 }
 
+/// A deep check that the runtime works at.
+struct Check {
+    peer: Arc<Peer>,
+    request: u16,
+    since: Instant,
+}
+
 /// The actors around the host, and what all share.
 pub struct Around {
     /// Makes calls.
@@ -166,7 +178,7 @@
     /// Small indices of the callers, by their number.
     callers: HashMap<u32, usize>,
     /// Deep checks that wait for the runtime, by their number.
-    checks: HashMap<u64, (Arc<Peer>, u16)>,
+    checks: HashMap<Serial, Check>,
     stop_ms: f64,
     leaving: Sender<()>,
     /// When all must be answered, once the notice has come.
@@ -378,7 +390,7 @@
     pub fn serve(&mut self, mailbox: &Receiver<Mail>) {
         let mut sweep = Instant::now() + SWEEP;
         loop {
-            let wait = (self.tasks.wake_at - self.clock.now()).clamp(0.0, 20.0);
+            let wait = (self.tasks.wake_at - self.clock.now()).clamp(0.0, 50.0);
             match mailbox.recv_timeout(Duration::from_micros((wait * 1000.0) as u64)) {
                 Ok(mail) => self.handle(mail),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -391,7 +403,7 @@
             let at = Instant::now();
             if at >= sweep {
                 sweep = at + SWEEP;
-                self.tasks.fingerprints.sweep(self.tasks.now);
+                self.sweep();
             }
             if self.leave_by.is_some_and(|by| at >= by) && self.left(mailbox) {
                 return;
@@ -399,6 +411,18 @@
         }
     }
 
+    /// Drops what is kept for nobody: fingerprints that have lapsed, checks that nobody waits for.
+    fn sweep(&mut self) {
+        self.tasks.fingerprints.sweep(self.tasks.now);
+        self.checks.retain(|_, check| {
+            let waits = check.since.elapsed() < LONGEST_CHECK;
+            if !waits {
+                checked(&check.peer, check.request, false);
+            }
+            waits
+        });
+    }
+
     /// After all that was read is answered: lets the connections end, and waits for them.
     fn left(&mut self, mailbox: &Receiver<Mail>) -> bool {
         self.tasks.edge.close();
@@ -434,9 +458,7 @@
             Mail::Unlinked => {
                 self.tasks.link.commands = None;
                 self.gauges = Gauges::default();
-                for (_, (peer, request)) in self.checks.drain() {
-                    checked(&peer, request, false);
-                }
+                self.checks.drain().for_each(|(_, check)| checked(&check.peer, check.request, false));
             }
             Mail::Line(line) => self.line(line),
             Mail::Called { who, outcome, took_ms, body } => self.called(who, outcome, took_ms, &body),
@@ -484,17 +506,20 @@
         tasks.counters.tasks_taken.add();
         tasks.counters.tasks_open.add();
         // Stamps are by the Unix clock, as is this difference alone.
-        let unread_ms = (unix_ms() - start_ms).max(0.0);
+        let since_ms = (unix_ms() - start_ms).max(0.0);
+        // None lies unread for longer than any client waits: a stamp that says so is wrong, and would be
+        // taken for a backlog.
+        let unread_ms = since_ms.min(tasks.facts.told.stages[stage].limit_ms);
         let next = self.callers.len();
         let arrival = Arrival {
             stage,
             customer: 0,
             caller: *self.callers.entry(caller).or_insert(next),
             unread_ms,
-            left_ms: timeout_ms.map(|ms| (ms - unread_ms).max(0.0)),
+            left_ms: timeout_ms.map(|ms| (ms - since_ms).max(0.0)),
             hint_ms,
             kb,
-            repeat: mark.as_ref().is_some_and(|mark| tasks.fingerprints.knows(mark, tasks.now - unread_ms)),
+            repeat: mark.as_ref().is_some_and(|mark| tasks.fingerprints.knows(mark, tasks.now - since_ms)),
         };
         tasks.serial += 1;
         let (serial, back) = (tasks.serial, Some((peer, request)));
@@ -554,12 +579,19 @@
     // ---- The runtime ----
 
     fn linked(&mut self, commands: Sender<String>) {
-        let link = &mut self.tasks.link;
-        let _ = commands.try_send(runtime::sync(link.last));
-        // What was under way when the last link broke may have arrived or not. These gauges come after all
-        // notices that were missed: until then nothing is sent, so that no run that has ended is started.
-        let _ = commands.try_send(runtime::ask("gauges", &format!("replay {}", link.asked)));
-        (link.commands, link.replaying) = (Some(commands), true);
+        let _ = commands.try_send(runtime::sync(self.tasks.link.last));
+        (self.tasks.link.commands, self.tasks.link.replaying) = (Some(commands), true);
+    }
+
+    /// The runtime is up and sends the notices that were missed. What was under way when the last link broke
+    /// may have arrived or not: until the answer to this, which comes after them, nothing else is sent, so
+    /// that no run that has ended is started. Asked any sooner, a runtime that is not up turns it down.
+    fn ready(&mut self, cold: bool, ago_ms: f64) {
+        self.begin(cold, ago_ms);
+        let link = &self.tasks.link;
+        if let Some(commands) = &link.commands {
+            let _ = commands.try_send(runtime::ask("gauges", REPLAY));
+        }
     }
 
     /// All missed notices are read: what may not have arrived is sent again.
@@ -587,7 +619,7 @@
     fn line(&mut self, line: Line) {
         static NACK: Kind = Kind::new();
         match line {
-            Line::Ready { cold, time_ms } => self.begin(cold, time_ms),
+            Line::Ready { cold, time_ms } => self.ready(cold, time_ms),
             Line::Info(no) => drop(self.first(no)),
             Line::End { no, id, how, body } if self.first(no) => self.run_over(&id, how, body),
             Line::Wants { no, id, body } if self.first(no) => {
@@ -601,14 +633,15 @@
             Line::Load { mark, values } => {
                 match mark.parse::<u64>() {
                     Ok(number) => self.tasks.link.came = self.tasks.link.came.max(number + 1),
-                    Err(_) => self.replayed(),
+                    Err(_) if mark == REPLAY => self.replayed(),
+                    Err(_) => {}
                 }
                 self.read_gauges(&values);
             }
             Line::Verdict { mark, good } => {
                 let check = mark.parse().ok().and_then(|number: u64| self.checks.remove(&number));
-                if let Some((peer, request)) = check {
-                    checked(&peer, request, good);
+                if let Some(check) = check {
+                    checked(&check.peer, check.request, good);
                 }
             }
             Line::Nack { command, id } => {
@@ -696,7 +729,7 @@
                 return checked(&peer, request, false);
             }
             tasks.serial += 1;
-            self.checks.insert(tasks.serial, (peer, request));
+            self.checks.insert(tasks.serial, Check { peer, request, since: Instant::now() });
             let line = runtime::ask("selftest", &tasks.serial.to_string());
             return tasks.send(line);
         }
--- /dev/null
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -0,0 +1,455 @@
+//! The program on real sockets, among stand-ins for all that it talks to.
+
+mod stand_ins;
+
+use std::io::Write;
+use std::net::{Shutdown, TcpListener};
+
+use asterdale_fastcgi::kind;
+use serde_json::json;
+use stand_ins::{address, config, counter, launch, now, record, request, until, Backend, PATIENCE};
+
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+const C: &str = "00000000000000cc";
+const KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+
+#[test]
+fn a_task_is_run_and_its_result_comes_back_unchanged_in_any_order() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    edge.task(7, "page", B, &[]);
+    let start = backend.runtime.command("start");
+    assert_eq!(start, json!({"t": "start", "rid": A, "route": "page", "b64": "YXNrAP8="}));
+    assert_eq!(backend.runtime.command("start")["rid"], B);
+    let result: Vec<u8> = (0..4096u32).map(|n| n as u8).collect();
+    backend.runtime.end(B, "PASS", &result);
+    let answer = edge.answer().unwrap();
+    assert_eq!((answer.request, answer.status(), answer.state), (7, "200", 0));
+    assert_eq!(answer.body, result);
+    backend.runtime.end(A, "FAIL", b"");
+    assert_eq!(edge.status(1), "500");
+}
+
+#[test]
+fn a_request_may_come_a_byte_at_a_time() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.stream.set_nodelay(true).unwrap();
+    let start = now();
+    for byte in request(3, "/v1/page", &stand_ins::fields(A, &start, &[]), b"x") {
+        edge.send(&[byte]);
+    }
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"done");
+    assert_eq!(edge.answer().unwrap().body, b"done");
+}
+
+#[test]
+fn what_comes_too_late_is_rejected_at_once_with_advice() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[("HTTP_X_TIMEOUT_MS", "0")]);
+    let answer = edge.answer().unwrap();
+    assert_eq!(answer.status(), "503");
+    assert!(answer.head.contains("Retry-After-Ms: "), "{}", answer.head);
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+#[test]
+fn a_repeat_of_a_fingerprinted_task_gets_the_result_and_never_runs() {
+    let backend = Backend::start();
+    let (mut edge, mut other) = (backend.connect(), backend.connect());
+    edge.task(1, "bid", A, &[KEY]);
+    backend.runtime.command("start");
+    // One that comes while it runs, and one after it ended.
+    other.task(1, "bid", B, &[KEY]);
+    backend.counters_until(|count| count("tasks_taken") == 2);
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.answer().unwrap().body, b"sold");
+    assert_eq!(other.answer().unwrap().body, b"sold");
+    other.task(2, "bid", C, &[KEY]);
+    let answer = other.answer().unwrap();
+    assert_eq!((answer.status(), answer.body.as_slice()), ("200", &b"sold"[..]));
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+#[test]
+fn a_repeat_of_one_that_failed_fails_and_never_runs() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "bid", A, &[KEY]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "FAIL", b"");
+    assert_eq!(edge.status(1), "500");
+    edge.task(2, "bid", B, &[KEY]);
+    assert_eq!(edge.status(2), "500");
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+#[test]
+fn a_call_goes_below_and_its_reply_to_the_run() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "bid", A, &[KEY]);
+    backend.runtime.command("start");
+    for reply in [&b"one"[..], b"\0\xfe"] {
+        backend.runtime.wants(A, b"need");
+        let call = backend.records.call();
+        assert!(call.head.starts_with("POST /records/op HTTP/1.1\r\n"), "{}", call.head);
+        assert!(call.head.contains(&format!("Op-Of: {A}\r\n")) && call.head.contains("Op-Wait-Ms: "));
+        assert_eq!(call.body, b"need");
+        call.reply("200 OK", reply);
+        let encoded = if reply == b"one" { "b25l" } else { "AP4=" };
+        assert_eq!(backend.runtime.command("give"), json!({"t": "give", "rid": A, "b64": encoded}));
+    }
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.status(1), "200");
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_made_again() {
+    for bad in ["500 Error", "504 Late", "503 Busy", "nonsense", ""] {
+        let backend = Backend::start();
+        let mut edge = backend.connect();
+        edge.task(1, "bid", A, &[KEY]);
+        backend.runtime.command("start");
+        backend.runtime.wants(A, b"need");
+        let call = backend.records.call();
+        match bad {
+            "" => drop(call),
+            "nonsense" => call.reply("xyz", b""),
+            status => call.reply(status, b""),
+        }
+        assert_eq!(edge.status(1), "500", "{bad}");
+        backend.runtime.end(A, "KILLED", b"");
+        backend.counters_until(|count| count("runs_killed") == 1);
+        backend.counters_until(|count| count("calls_sent") == 1);
+    }
+}
+
+#[test]
+fn a_call_that_never_began_is_made_again() {
+    for never in ["503 Busy\r\nOp-Not-Begun: 1", "409 Conflict\r\nOp-Not-Begun: 1"] {
+        let backend = Backend::start();
+        let mut edge = backend.connect();
+        edge.task(1, "bid", A, &[KEY]);
+        backend.runtime.command("start");
+        backend.runtime.wants(A, b"need");
+        backend.records.call().reply(never, b"");
+        backend.records.call().reply("200 OK", b"now");
+        backend.runtime.command("give");
+        backend.runtime.end(A, "PASS", b"sold");
+        assert_eq!(edge.status(1), "200");
+    }
+}
+
+#[test]
+fn a_run_goes_on_without_a_call_that_can_be_left_out_and_fails() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    backend.runtime.wants(A, b"need");
+    backend.records.call().reply("500 Error", b"");
+    backend.records.call().reply("500 Error", b"");
+    assert_eq!(backend.runtime.command("omit"), json!({"t": "omit", "rid": A, "no": 1}));
+    backend.runtime.end(A, "PASS", b"poor");
+    assert_eq!(edge.answer().unwrap().body, b"poor");
+}
+
+#[test]
+fn a_records_service_that_refuses_connections_has_run_nothing() {
+    let at = address();
+    let backend = Backend::start_before_runtime(|config| config["records"] = json!(at));
+    backend.runtime.up();
+    let mut edge = backend.connect();
+    edge.task(1, "bid", A, &[KEY]);
+    backend.runtime.command("start");
+    backend.runtime.wants(A, b"need");
+    backend.counters_until(|count| count("calls_failed") >= 2);
+    let listener = TcpListener::bind(at).unwrap();
+    listener.accept().unwrap(); // it is there again, and the call is made
+}
+
+#[test]
+fn an_abort_ends_a_held_task_and_frees_its_number() {
+    let backend = Backend::start_before_runtime(|_| ());
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    edge.send(&record(kind::ABORT_REQUEST, 1, &[]));
+    edge.status(1);
+    backend.runtime.up();
+    edge.task(1, "page", B, &[]);
+    until("the start", || backend.runtime.commanded().is_some_and(|command| command["rid"] == B));
+    backend.runtime.end(B, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+    backend.counters_until(|count| count("tasks_left") == 1 && count("tasks_open") == 0);
+}
+
+#[test]
+fn a_peer_that_only_stops_sending_gets_its_answer() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    edge.stream.shutdown(Shutdown::Write).unwrap();
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"late");
+    assert_eq!(edge.answer().unwrap().body, b"late");
+    assert_eq!(edge.answer(), None);
+    backend.counters_until(|count| count("connections_open") == 0);
+}
+
+#[test]
+fn malformed_bytes_end_their_connection_alone_and_what_is_open_on_it_is_answered() {
+    let backend = Backend::start();
+    let (mut edge, mut other) = (backend.connect(), backend.connect());
+    edge.task(1, "page", A, &[]);
+    edge.send(b"GET / HTTP/1.1\r\n\r\n");
+    other.task(1, "page", B, &[]);
+    backend.runtime.command("start");
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"a");
+    backend.runtime.end(B, "PASS", b"b");
+    assert_eq!(edge.answer().unwrap().body, b"a");
+    assert_eq!(edge.answer(), None);
+    assert_eq!(other.answer().unwrap().body, b"b");
+    other.task(2, "page", C, &[]);
+    backend.runtime.command("start");
+    backend.counters_until(|count| count("connections_malformed") == 1);
+}
+
+#[test]
+fn a_senseless_field_gets_an_answer_of_its_own_and_never_runs() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    for (name, value) in [
+        ("HTTP_X_REQUEST_ID", "short"),
+        ("HTTP_X_REQUEST_ID", "zz000000000000aa"),
+        ("HTTP_X_REQUEST_ID", ""),
+        ("HTTP_X_REQUEST_START", "soon"),
+        ("HTTP_X_CALLER", "-1"),
+        ("HTTP_X_TIMEOUT_MS", "NaN"),
+        ("HTTP_X_COST_MS", "inf"),
+        ("HTTP_X_MEMORY_KB", "0"),
+        ("HTTP_X_MEMORY_KB", "2000"),
+        ("HTTP_IDEMPOTENCY_KEY", ""),
+    ] {
+        edge.task(5, "bid", A, &[KEY, (name, value)]);
+        assert_eq!(edge.status(5), "400", "{name} {value:?}");
+    }
+    edge.task(6, "unheard", A, &[KEY]);
+    assert_eq!(edge.status(6), "400");
+    let start = now();
+    let long = request(7, "/v1/page", &stand_ins::fields(A, &start, &[]), &[0; 2049]);
+    edge.send(&long);
+    assert_eq!(edge.status(7), "400");
+    assert_eq!(backend.runtime.commanded(), None);
+    backend.counters_until(|count| count("tasks_senseless") == 12 && count("tasks_taken") == 0);
+}
+
+#[test]
+fn other_roles_management_records_and_unknown_types_are_answered_as_the_specification_says() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.send(&record(kind::BEGIN_REQUEST, 9, &[0, 2, 1, 0, 0, 0, 0, 0]));
+    let answer = edge.answer().unwrap();
+    assert_eq!((answer.request, answer.state), (9, 3));
+    edge.send(&record(77, 4, b"of no request")); // passed over
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+}
+
+#[test]
+fn a_connection_carries_32_open_requests_and_no_more() {
+    let backend = Backend::start_before_runtime(|config| {
+        config["settings"]["extra"]["cores"] = json!(40);
+    });
+    backend.runtime.up();
+    let mut edge = backend.connect();
+    for n in 1..=33u16 {
+        edge.task(n, "page", &format!("{n:016x}"), &[]);
+    }
+    let answer = edge.answer().unwrap();
+    assert_eq!((answer.request, answer.state), (33, 2));
+    for n in 1..=32u16 {
+        let command = backend.runtime.command("start");
+        assert_eq!(command["rid"], format!("{n:016x}"));
+        backend.runtime.end(&format!("{n:016x}"), "PASS", b"");
+        assert_eq!(edge.status(n), "200");
+    }
+}
+
+#[test]
+fn checks_are_answered_before_the_runtime_is_up_and_while_leaving() {
+    let backend = Backend::start_before_runtime(|_| ());
+    let mut edge = backend.connect();
+    for query in ["", "deep=1"] {
+        edge.send(&request(1, "/healthz", &[("QUERY_STRING", query)], b""));
+        assert_eq!(edge.status(1), "200");
+    }
+    backend.signal("-TERM");
+    until("bad health", || {
+        edge.send(&request(2, "/healthz", &[], b""));
+        edge.status(2) == "503"
+    });
+}
+
+#[test]
+fn reports_go_on_and_say_when_the_backend_leaves() {
+    let backend = Backend::start();
+    for _ in 0..2 {
+        assert_eq!(backend.reports.recv_timeout(PATIENCE).unwrap(), r#"{"state":"ready"}"#);
+    }
+    backend.signal("-TERM");
+    until("draining", || backend.reports.recv_timeout(PATIENCE).unwrap() == r#"{"state":"draining"}"#);
+}
+
+#[test]
+fn a_broken_link_is_made_again_and_no_run_that_has_ended_is_started_anew() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    edge.task(2, "page", B, &[]);
+    backend.runtime.command("start");
+    backend.runtime.command("start");
+    backend.runtime.broken(|runtime| runtime.end(A, "PASS", b"meanwhile"));
+    let answer = edge.answer().unwrap();
+    assert_eq!((answer.request, answer.body.as_slice()), (1, &b"meanwhile"[..]));
+    // B's start may be sent again, as it may not have arrived; A's may not.
+    backend.runtime.end(B, "PASS", b"b");
+    assert_eq!(edge.answer().unwrap().body, b"b");
+    while let Some(command) = backend.runtime.commanded() {
+        assert_eq!(command["rid"], B, "{command}");
+    }
+}
+
+#[test]
+fn a_task_taken_while_there_is_no_link_is_started_when_there_is_one() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    backend.runtime.broken(|_| {
+        edge.task(1, "bid", A, &[KEY]);
+        backend.counters_until(|count| count("runs_started") == 1);
+    });
+    assert_eq!(backend.runtime.command("start")["rid"], A);
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+#[test]
+fn a_line_that_can_not_be_read_makes_the_link_anew() {
+    let backend = Backend::start();
+    backend.counters_until(|count| count("links") == 1);
+    backend.runtime.say("{\"t\":\"end\",\"no\":\"many\"}");
+    backend.counters_until(|count| count("links") == 2 && count("lines_bad") == 1);
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+}
+
+#[test]
+fn a_start_that_is_turned_down_abandons_its_task() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    backend.runtime.say(&json!({"t": "nack", "status": "start", "rid": A}).to_string());
+    assert_eq!(edge.status(1), "500");
+}
+
+#[test]
+fn leaving_answers_all_that_was_read_and_ends_well() {
+    let mut backend = Backend::start();
+    let (mut edge, mut idle) = (backend.connect(), backend.connect());
+    edge.task(1, "page", A, &[]);
+    edge.task(2, "bid", B, &[KEY]);
+    backend.runtime.command("start");
+    backend.runtime.command("start");
+    backend.signal("-TERM");
+    until("the notice", || backend.log().contains("host: leaving"));
+    // What comes after the grace is rejected; what runs may end; what never ends is abandoned in time.
+    std::thread::sleep(std::time::Duration::from_millis(5)); // stamps are whole milliseconds
+    edge.task(3, "page", C, &[]);
+    assert_eq!(edge.status(3), "503");
+    backend.runtime.end(A, "PASS", b"in time");
+    assert_eq!(edge.answer().unwrap().body, b"in time");
+    assert_eq!(edge.status(2), "500");
+    assert_eq!(edge.answer(), None);
+    assert_eq!(idle.answer(), None);
+    let (status, log) = backend.ended();
+    assert!(status.success(), "{log}");
+    let count = |name: &str| counter(&log, name);
+    assert_eq!((count("tasks_taken"), count("tasks_open")), (3, 0));
+    let answered = ["finished", "joined", "rejected", "abandoned", "left"];
+    assert_eq!(answered.map(|how| count(&format!("tasks_{how}"))), [1, 0, 1, 1, 0]);
+}
+
+#[test]
+fn counts_add_up_taken_in_is_answered_given_up_or_open() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    edge.task(2, "page", B, &[("HTTP_X_TIMEOUT_MS", "0")]);
+    edge.task(3, "bid", C, &[KEY]);
+    edge.send(&record(kind::ABORT_REQUEST, 3, &[]));
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    backend.counters_until(|count| {
+        let ends = ["finished", "joined", "rejected", "abandoned", "left", "open"];
+        let ends = ends.map(|how| count(&format!("tasks_{how}")));
+        assert_eq!(ends.iter().sum::<u64>(), count("tasks_taken"));
+        ends == [1, 0, 1, 0, 1, 0]
+    });
+}
+
+#[test]
+fn idle_connections_close_and_busy_ones_do_not() {
+    let backend = Backend::start_before_runtime(|config| {
+        config["settings"]["extra"]["idleNs"] = json!(100_000_000);
+    });
+    backend.runtime.up();
+    let (mut idle, mut busy) = (backend.connect(), backend.connect());
+    busy.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    assert_eq!(idle.answer(), None);
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(busy.status(1), "200");
+    assert_eq!(busy.answer(), None);
+    backend.counters_until(|count| count("connections_idle") == 2);
+}
+
+#[test]
+fn a_peer_that_reads_nothing_holds_up_nobody_else() {
+    let backend = Backend::start();
+    let (mut deaf, mut edge) = (backend.connect(), backend.connect());
+    // Management records whose answers it never reads fill its way back, until sending them stops.
+    deaf.stream.set_nonblocking(true).unwrap();
+    let ask = record(kind::GET_VALUES, 0, b"\x0f\0FCGI_MPXS_CONNS").repeat(1000);
+    let mut stuck = 0;
+    until("a full way back", || {
+        stuck = if matches!(deaf.stream.write(&ask), Ok(1..)) { 0 } else { stuck + 1 };
+        stuck > 100
+    });
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+}
+
+#[test]
+fn a_bad_start_file_is_named_in_one_line() {
+    let at = "127.0.0.1:1".parse().unwrap();
+    let mut config = config(at, at, at, at);
+    config["runtime"] = json!("nowhere");
+    let (child, file) = launch(&config);
+    let output = child.wait_with_output().unwrap();
+    std::fs::remove_file(file).unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(text, "asterdale: runtime: \"nowhere\" is no address with a port\n");
+}
--- a/crates/asterdale-fastcgi/src/requests.rs
+++ b/crates/asterdale-fastcgi/src/requests.rs
@@ -5,8 +5,9 @@
 use crate::kind;
 use crate::record::{Malformed, Record};
 
-/// More than any head of the platform takes; what is over it is not kept.
-const MOST_PARAMS: usize = 16 * 1024;
+/// What the requests of one connection that have begun may take in all: 32 heads and bodies of the platform
+/// take less. So a thousand connections that begin and never end can't fill the memory.
+const MOST: usize = 96 * 1024;
 /// The platform's bound for a body is 2 KiB; a longer one is cut here, and known by its length.
 const MOST_BODY: usize = 2 * 1024 + 1;
 /// The role that this side plays.
@@ -50,6 +51,8 @@
 #[derive(Default)]
 pub struct Requests {
     partial: HashMap<u16, Partial>,
+    /// Bytes of their parameters and bodies.
+    bytes: usize,
 }
 
 impl Requests {
@@ -58,6 +61,12 @@
         self.partial.len()
     }
 
+    fn remove(&mut self, id: u16) -> Option<Whole> {
+        let whole = self.partial.remove(&id)?.whole;
+        self.bytes -= whole.params.len() + whole.body.len();
+        Some(whole)
+    }
+
     /// Takes the next record. `more` says whether another request may be opened.
     pub fn take(&mut self, record: Record<'_>, more: bool) -> Result<Step, Malformed> {
         let Record { kind, id, content } = record;
@@ -85,29 +94,27 @@
             }
             kind::ABORT_REQUEST => {
                 // One that never came whole was not taken: nothing ran, and it ends here.
-                return Ok(match self.partial.remove(&id) {
-                    Some(_) => Step::Refuse(id, crate::ended::COMPLETE),
-                    None => Step::Abort(id),
-                });
+                let known = self.remove(id).is_some();
+                return Ok(if known { Step::Refuse(id, crate::ended::COMPLETE) } else { Step::Abort(id) });
             }
             kind::PARAMS | kind::STDIN => {
                 let Some(partial) = self.partial.get_mut(&id) else { return Ok(Step::Nothing) };
+                let Whole { params, body, .. } = &mut partial.whole;
                 if kind == kind::PARAMS && !partial.params_done {
                     partial.params_done = content.is_empty();
-                    if partial.whole.params.len() + content.len() > MOST_PARAMS {
-                        return Err(Malformed::Length);
-                    }
-                    partial.whole.params.extend_from_slice(content);
+                    params.extend_from_slice(content);
+                    self.bytes += content.len();
                 } else if kind == kind::STDIN {
-                    let room = MOST_BODY - partial.whole.body.len();
-                    partial.whole.body.extend_from_slice(&content[..content.len().min(room)]);
+                    let part = &content[..content.len().min(MOST_BODY - body.len())];
+                    body.extend_from_slice(part);
+                    self.bytes += part.len();
                     if content.is_empty() && partial.params_done {
-                        return Ok(self
-                            .partial
-                            .remove(&id)
-                            .map_or(Step::Nothing, |partial| Step::Whole(id, partial.whole)));
+                        return Ok(self.remove(id).map_or(Step::Nothing, |whole| Step::Whole(id, whole)));
                     }
                 }
+                if self.bytes > MOST {
+                    return Err(Malformed::Length);
+                }
             }
             _ => {}
         }
@@ -159,6 +166,20 @@
         assert_eq!(whole.body.len(), 2049);
     }
 
+    #[test]
+    fn requests_that_begin_and_never_end_have_a_bound() {
+        let mut requests = Requests::default();
+        for round in 0..4 {
+            requests.take(record(1, 1, BEGIN), true).unwrap();
+            assert_eq!(requests.take(record(4, 1, &[0; 60_000]), true), Ok(Step::Nothing), "{round}");
+            requests.take(record(2, 1, b""), true).unwrap();
+        }
+        requests.take(record(1, 1, BEGIN), true).unwrap();
+        requests.take(record(1, 2, BEGIN), true).unwrap();
+        assert_eq!(requests.take(record(4, 1, &[0; 60_000]), true), Ok(Step::Nothing));
+        assert_eq!(requests.take(record(4, 2, &[0; 60_000]), true), Err(Malformed::Length));
+    }
+
     #[test]
     fn what_can_not_be_taken_is_refused_or_malformed() {
         let mut requests = Requests::default();
