What peers begin and never end can't fill the memory; limits measured

Also: a request opened under the number of an open one is passed over; a runtime that is slow to answer is not asked for gauges again meanwhile; a standard error that takes nothing can't end the program (the log's drain would have panicked).

--- a/crates/asterdale-daemon/src/counters.rs
+++ b/crates/asterdale-daemon/src/counters.rs
@@ -62,6 +62,8 @@
     tasks_senseless,
     /// Answered with OVERLOADED: more open requests than a connection may carry.
     requests_over,
+    /// Passed over: opened under the number of one that is open.
+    requests_twice,
     /// Runs started at the runtime.
     runs_started,
     /// Runs that ended well, badly, or were killed or void.
@@ -92,6 +94,8 @@
     connections_idle,
     /// Ended by bytes that can't be read.
     connections_malformed,
+    /// Ended as requests that had begun took too much memory.
+    connections_crowded,
     /// Ended by a peer that reset them or stopped reading.
     connections_broken,
     /// Times that accepting paused for want of descriptors.
--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -65,6 +65,11 @@
 }
 
 impl Peer {
+    /// A request that will get no answer of its own.
+    pub fn drop_one(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Hands an answer to the writer. There is room: no more requests are open than it has places.
     pub fn answer(&self, answer: Answer) {
         let _ = self.answers.try_send(answer);
@@ -79,6 +84,9 @@
     counters: Arc<Counters>,
     log: Log,
     most_connections: usize,
+    /// Bytes that connections have read and not yet handed on, and how many they may be.
+    unread: AtomicUsize,
+    most_unread: usize,
     /// The longest that any caller waits: what stands still for that long serves nobody.
     longest: Duration,
     /// Connections that carried nothing for so many milliseconds are closed; 0 for never.
@@ -88,6 +96,29 @@
     began: Instant,
 }
 
+/// The part of [`Edge::unread`] that is one connection's, given back when its reading ends.
+struct Unread<'a> {
+    edge: &'a Edge,
+    bytes: usize,
+}
+
+impl Unread<'_> {
+    /// Takes note of how much it is now; `false` if that is more than there is room for.
+    fn is(&mut self, bytes: usize) -> bool {
+        let all = self.edge.unread.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.edge.unread.fetch_sub(self.bytes, Ordering::Relaxed);
+        let grows = bytes > self.bytes;
+        self.bytes = bytes;
+        !grows || all <= self.edge.most_unread
+    }
+}
+
+impl Drop for Unread<'_> {
+    fn drop(&mut self) {
+        self.is(0);
+    }
+}
+
 /// How a connection's reading ended.
 enum End {
     /// The peer says no more, or nothing more is wanted from it; what is open is still answered.
@@ -96,6 +127,8 @@
     Idle,
     /// What it says can't be read; what is open is still answered.
     Malformed(Malformed),
+    /// It began more than there is memory for; what is open is still answered.
+    Crowded,
     /// It broke: nobody is there to be answered.
     Broken,
 }
@@ -110,8 +143,11 @@
             host,
             counters,
             log,
-            // Edge nodes open half of the descriptors at most; a quarter stays for all else.
-            most_connections: start.descriptors * 3 / 4,
+            // Edge nodes open half of the descriptors at most; a quarter stays for all else. A connection
+            // takes up to 64 KiB by itself, stacks in the kernel included: a third of the memory.
+            most_connections: (start.descriptors * 3 / 4).min(start.memory / 3 / 65_536).max(1),
+            unread: AtomicUsize::new(0),
+            most_unread: start.memory / 4,
             longest: Duration::from_millis(longest as u64),
             idle_ms: AtomicU64::new(facts.told.idle_ms as u64),
             facts,
@@ -206,8 +242,9 @@
         }
         self.counters.connections_open.add();
         let reader = spawn("reader").spawn(move || {
-            let end = edge.read(&stream, &peer, &control);
-            drop((peer, control));
+            let mut unread = Unread { edge: &edge, bytes: 0 };
+            let end = edge.read(&stream, &peer, &control, &mut unread);
+            drop((peer, control, unread));
             edge.end(connection, &stream, writer, end);
         });
         if reader.is_err() {
@@ -219,6 +256,7 @@
     /// The one place where a connection is given back: after the writer has ended, its last answer written.
     fn end(&self, connection: u64, stream: &TcpStream, writer: thread::JoinHandle<()>, end: End) {
         static MALFORMED: Kind = Kind::new();
+        static CROWDED: Kind = Kind::new();
         match end {
             End::Quiet => {}
             End::Idle => self.counters.connections_idle.add(),
@@ -228,6 +266,12 @@
                     slog::warn!(self.log.lines, "edge: a connection ends, malformed"; "what" => %what);
                 }
             }
+            End::Crowded => {
+                self.counters.connections_crowded.add();
+                if self.log.may(&CROWDED) {
+                    slog::warn!(self.log.lines, "edge: a connection ends, no memory for what it begins");
+                }
+            }
             End::Broken => {
                 self.counters.connections_broken.add();
                 let _ = self.host.send(Mail::Gone(connection));
@@ -305,7 +349,13 @@
     }
 
     /// The reader's thread, until the connection's reading ends.
-    fn read(&self, mut stream: &TcpStream, peer: &Arc<Peer>, control: &Sender<Answer>) -> End {
+    fn read(
+        &self,
+        mut stream: &TcpStream,
+        peer: &Arc<Peer>,
+        control: &Sender<Answer>,
+        unread: &mut Unread<'_>,
+    ) -> End {
         let (mut incoming, mut requests) = (Incoming::default(), Requests::default());
         let (mut last, mut waits) = (self.clock(), None);
         loop {
@@ -346,6 +396,10 @@
                     return End::Quiet;
                 }
             }
+            // The usual buffer of a connection is no part of it: that one is always there.
+            if !unread.is(incoming.size().saturating_sub(8192) + requests.bytes()) {
+                return End::Crowded;
+            }
             // Half a request that stands still is waited for as long as any caller waits.
             let half = !incoming.is_empty() || requests.begun() > 0;
             let limit = match self.idle_ms.load(Ordering::Relaxed) {
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -120,6 +120,7 @@
     /// The number of the next gauges asked for, and of the last that came.
     asked: u64,
     came: u64,
+    asked_at: f64,
 }
 
 /// Everything but the decisions: what the module's answers act on.
@@ -486,9 +487,12 @@
             server.beat(now, self.gauges, tasks);
         }
         self.settle();
-        // Asked for now, they are there at the next beat.
+        // Asked for now, they are there at the next beat. A runtime that is slow to answer is not asked again
+        // meanwhile, or for half a second.
         let tasks = &mut self.tasks;
-        if tasks.link.commands.is_some() && !tasks.link.replaying {
+        let due = tasks.link.asked == tasks.link.came || now >= tasks.link.asked_at + 500.0;
+        if tasks.link.commands.is_some() && !tasks.link.replaying && due {
+            tasks.link.asked_at = now;
             let line = runtime::ask("gauges", &tasks.link.asked.to_string());
             tasks.link.asked += 1;
             tasks.send(line);
@@ -499,6 +503,12 @@
         let Request { asked, body, peer, request } = request;
         let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark } = asked;
         let tasks = &mut self.tasks;
+        let same = |slot: &Slot| slot.back.as_ref().is_some_and(|back| meant(back, &peer, request));
+        if tasks.slots.iter().flatten().any(same) {
+            // Two answers under one number could not be told apart: the first request keeps it.
+            tasks.counters.requests_twice.add();
+            return peer.drop_one();
+        }
         if tasks.by_id.contains_key(&id) {
             tasks.counters.tasks_senseless.add();
             return peer.answer(senseless(request));
@@ -759,6 +769,11 @@
     }
 }
 
+/// Whether this is the way back for this request of this connection.
+fn meant(back: &(Arc<Peer>, u16), peer: &Peer, request: u16) -> bool {
+    back.0.connection == peer.connection && back.1 == request
+}
+
 fn checked(peer: &Peer, request: u16, good: bool) {
     let head = if good { "Status: 200\r\n\r\n" } else { "Status: 503\r\n\r\n" };
     peer.answer(Answer::new(request, head, Arc::new([])));
--- a/crates/asterdale-daemon/src/log.rs
+++ b/crates/asterdale-daemon/src/log.rs
@@ -19,12 +19,13 @@
     /// counted there. The guard's end writes what is left.
     pub fn to_stderr(name: &str) -> (Log, AsyncGuard) {
         let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-        let drain = slog_term::FullFormat::new(decorator).build().fuse();
+        // A standard error that takes nothing must not end the program.
+        let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
         let (drain, guard) = slog_async::Async::new(drain)
             .chan_size(256)
             .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
             .build_with_guard();
-        let lines = Logger::root(drain.fuse(), o!("backend" => name.to_owned()));
+        let lines = Logger::root(drain.ignore_res(), o!("backend" => name.to_owned()));
         (Log { lines, born: Instant::now() }, guard)
     }
 
--- a/crates/asterdale-fastcgi/src/record.rs
+++ b/crates/asterdale-fastcgi/src/record.rs
@@ -68,6 +68,11 @@
         self.to += count;
     }
 
+    /// The memory that the buffer takes.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Nothing of a record lies here.
     pub fn is_empty(&self) -> bool {
         self.from == self.to
--- a/crates/asterdale-fastcgi/src/requests.rs
+++ b/crates/asterdale-fastcgi/src/requests.rs
@@ -61,6 +61,11 @@
         self.partial.len()
     }
 
+    /// The memory that they take.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     fn remove(&mut self, id: u16) -> Option<Whole> {
         let whole = self.partial.remove(&id)?.whole;
         self.bytes -= whole.params.len() + whole.body.len();
