The runtime's link: silence and bad lines that come again no longer keep it from working

Checked by reading the link's paths against the protocol and by tests over sockets: a bad line that is replayed on every new link made the link anew for ever (now passed over on a link under a second old); a runtime that answers no gauges for 3 s is linked anew; `info` without a number is no bad line. A request's two streams may end in either order (before, one whose body ended first was never taken).

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -23,6 +23,8 @@
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
 /// that is shorter by this, or by a quarter of a very short one.
 const WAY_OUT_MS: f64 = 300.0;
+/// A runtime that owes gauges for so long may have lost its link without a word. A new one does no harm.
+const SILENT_MS: f64 = 3000.0;
 /// A deep check without a verdict fails after so long; nobody waits for it any more.
 const LONGEST_CHECK: Duration = Duration::from_secs(10);
 /// What is kept for nobody is looked for this often.
@@ -121,6 +123,8 @@
     asked: u64,
     came: u64,
     asked_at: f64,
+    /// When none was owed last.
+    answered_at: f64,
 }
 
 /// Everything but the decisions: what the module's answers act on.
@@ -490,9 +494,16 @@
         // Asked for now, they are there at the next beat. A runtime that is slow to answer is not asked again
         // meanwhile, or for half a second.
         let tasks = &mut self.tasks;
-        let due = tasks.link.asked == tasks.link.came || now >= tasks.link.asked_at + 500.0;
-        if tasks.link.commands.is_some() && !tasks.link.replaying && due {
-            tasks.link.asked_at = now;
+        let link = &mut tasks.link;
+        if link.asked == link.came {
+            link.answered_at = now;
+        } else if now >= link.answered_at + SILENT_MS && !link.replaying {
+            link.answered_at = now;
+            link.commands = None; // the link ends, and is made again
+        }
+        let due = link.asked == link.came || now >= link.asked_at + 500.0;
+        if link.commands.is_some() && !link.replaying && due {
+            link.asked_at = now;
             let line = runtime::ask("gauges", &tasks.link.asked.to_string());
             tasks.link.asked += 1;
             tasks.send(line);
@@ -617,6 +628,7 @@
             .map(|sent| sent.line.clone())
             .collect();
         unsure.into_iter().for_each(|line| tasks.send(line));
+        (tasks.link.came, tasks.link.answered_at) = (tasks.link.asked, tasks.now);
     }
 
     /// A notice is counted once, whichever link it came over.
@@ -630,7 +642,7 @@
         static NACK: Kind = Kind::new();
         match line {
             Line::Ready { cold, time_ms } => self.ready(cold, time_ms),
-            Line::Info(no) => drop(self.first(no)),
+            Line::Info(no) => drop(no.map(|no| self.first(no))),
             Line::End { no, id, how, body } if self.first(no) => self.run_over(&id, how, body),
             Line::Wants { no, id, body } if self.first(no) => {
                 let (Some(server), tasks) = (&mut self.server, &mut self.tasks) else { return };
--- a/crates/asterdale-daemon/src/runtime.rs
+++ b/crates/asterdale-daemon/src/runtime.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
@@ -16,13 +16,15 @@
 use crate::edge::Id;
 use crate::gather;
 use crate::host::Mail;
-use crate::log::Log;
+use crate::log::{Kind, Log};
 
 /// Lines that wait to be written. A runtime that reads none of so many is taken for gone.
 const WAITING: usize = 4096;
 /// No line is longer: results have 4 KiB before their encoding.
 const MOST_LINE: u64 = 64 * 1024;
 const AGAIN: Duration = Duration::from_millis(20);
+/// A bad line on a link that is younger than this comes from what is sent anew on each: it is passed over.
+const YOUNG: Duration = Duration::from_secs(1);
 const PATIENCE: Duration = Duration::from_millis(1000);
 
 /// A line from the runtime.
@@ -76,8 +78,8 @@
         /// The task.
         id: Option<Id>,
     },
-    /// It means nothing.
-    Info(u64),
+    /// It means nothing, but for its number.
+    Info(Option<u64>),
 }
 
 /// How a run ended.
@@ -123,7 +125,7 @@
         }
         "verdict" => Line::Verdict { mark: mark()?, good: text("status")? == "PASS" },
         "nack" => Line::Nack { command: text("status")?.to_owned(), id: id() },
-        "info" => Line::Info(no()?),
+        "info" => Line::Info(no()),
         _ => return None,
     })
 }
@@ -169,13 +171,15 @@
 
 /// Keeps the link for as long as the host is there.
 pub fn link(at: SocketAddr, host: &Sender<Mail>, counters: &Arc<Counters>, log: &Log) {
-    let mut told = false;
+    static LINKED: Kind = Kind::new();
+    static BROKEN: Kind = Kind::new();
     loop {
         let why = match TcpStream::connect_timeout(&at, PATIENCE) {
             Ok(stream) => {
                 counters.links.add();
-                slog::info!(log.lines, "runtime: linked");
-                told = false;
+                if log.may(&LINKED) {
+                    slog::info!(log.lines, "runtime: linked");
+                }
                 match serve(&Arc::new(stream), host, counters) {
                     Some(why) => why,
                     None => return,
@@ -183,9 +187,8 @@
             }
             Err(e) => e,
         };
-        if !told {
+        if log.may(&BROKEN) {
             slog::warn!(log.lines, "runtime: no link"; "why" => %why);
-            told = true;
         }
         thread::sleep(AGAIN);
     }
@@ -229,7 +232,7 @@
 
 fn lines(stream: &TcpStream, host: &Sender<Mail>, counters: &Counters) -> Option<io::Error> {
     let mut reader = BufReader::with_capacity(16 * 1024, stream);
-    let mut line = Vec::new();
+    let (mut line, began) = (Vec::new(), Instant::now());
     loop {
         line.clear();
         match (&mut reader).take(MOST_LINE).read_until(b'\n', &mut line) {
@@ -239,6 +242,9 @@
         }
         let Some(read) = read(&line) else {
             counters.lines_bad.add();
+            if began.elapsed() < YOUNG && line.ends_with(b"\n") {
+                continue;
+            }
             return Some(io::Error::new(io::ErrorKind::InvalidData, "a line that can't be read"));
         };
         host.send(Mail::Line(read)).ok()?;
--- a/crates/asterdale-daemon/tests/stand_ins/mod.rs
+++ b/crates/asterdale-daemon/tests/stand_ins/mod.rs
@@ -275,6 +275,8 @@
 #[derive(Default)]
 struct Shared {
     up: bool,
+    /// Whatever comes is lost.
+    deaf: bool,
     link: Option<TcpStream>,
     /// All notices so far, numbered from 1.
     notices: Vec<Value>,
@@ -314,6 +316,9 @@
                 for line in BufReader::new(stream).lines().map_while(Result::ok) {
                     let line: Value = serde_json::from_str(&line).unwrap();
                     let mut shared = all.lock().unwrap();
+                    if shared.deaf {
+                        continue;
+                    }
                     match line["t"].as_str().unwrap() {
                         "sync" => {
                             shared.synced = line["no"].as_u64();
@@ -338,6 +343,15 @@
         shared.ready();
     }
 
+    /// From now on whatever comes is lost, or not; a link that is made meanwhile breaks at the end of it.
+    pub fn deaf(&self, deaf: bool) {
+        let mut shared = self.shared.lock().unwrap();
+        shared.deaf = deaf;
+        if let (false, Some(link)) = (deaf, &shared.link) {
+            let _ = link.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// The next command that is not about gauges.
     pub fn command(&self, name: &str) -> Value {
         let command = self.commands.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no {name} came"));
--- a/crates/asterdale-fastcgi/src/requests.rs
+++ b/crates/asterdale-fastcgi/src/requests.rs
@@ -28,6 +28,7 @@
 struct Partial {
     whole: Whole,
     params_done: bool,
+    body_done: bool,
 }
 
 /// What a record comes to.
@@ -95,7 +96,7 @@
                     return Ok(Step::Refuse(id, crate::ended::OVERLOADED));
                 }
                 let whole = Whole { keep: body[2] & KEEP_CONN != 0, ..Whole::default() };
-                self.partial.insert(id, Partial { whole, params_done: false });
+                self.partial.insert(id, Partial { whole, params_done: false, body_done: false });
             }
             kind::ABORT_REQUEST => {
                 // One that never came whole was not taken: nothing ran, and it ends here.
@@ -109,13 +110,15 @@
                     partial.params_done = content.is_empty();
                     params.extend_from_slice(content);
                     self.bytes += content.len();
-                } else if kind == kind::STDIN {
+                } else if kind == kind::STDIN && !partial.body_done {
+                    partial.body_done = content.is_empty();
                     let part = &content[..content.len().min(MOST_BODY - body.len())];
                     body.extend_from_slice(part);
                     self.bytes += part.len();
-                    if content.is_empty() && partial.params_done {
-                        return Ok(self.remove(id).map_or(Step::Nothing, |whole| Step::Whole(id, whole)));
-                    }
+                }
+                // Two streams, which may end in either order.
+                if partial.params_done && partial.body_done {
+                    return Ok(self.remove(id).map_or(Step::Nothing, |whole| Step::Whole(id, whole)));
                 }
                 if self.bytes > MOST {
                     return Err(Malformed::Length);
@@ -160,6 +163,17 @@
         assert_eq!(requests.take(record(5, 1, b""), true), Ok(Step::Whole(1, whole)));
     }
 
+    #[test]
+    fn the_two_streams_may_end_in_either_order() {
+        let mut requests = Requests::default();
+        for (kind, content) in [(1, BEGIN), (5, &b"body"[..]), (5, b""), (4, b"head")] {
+            assert_eq!(requests.take(record(kind, 1, content), true), Ok(Step::Nothing));
+        }
+        let whole = Whole { params: b"head".to_vec(), body: b"body".to_vec(), keep: true };
+        assert_eq!(requests.take(record(4, 1, b""), true), Ok(Step::Whole(1, whole)));
+        assert_eq!((requests.begun(), requests.bytes()), (0, 0));
+    }
+
     #[test]
     fn a_body_that_is_too_long_is_cut_and_known_by_its_length() {
         let mut requests = Requests::default();
