A command that may have arrived is not repeated where a second copy could do harm

Observed: a probe with its own stand-ins (random edge nodes that split, abort, reset and send garbage; a runtime whose link breaks five times a second; records that fail in every way of the protocol) counted one run started after its end in 8,292 tasks: the first start had arrived, the link broke before gauges proved it, and the run ended while the second start was under way. A resent `give` could meet the next call alike. Excluded: the replay (it was read through), double notices, the fingerprints. Cause: Host::replayed sent everything unproven again. Now what no link had taken, an `omit` (it names its notice) and the start of a restartable task go out again; other starts and gives wait until their task is answered, at its due time at the latest, when a second start is void and frees what is kept.

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -196,9 +196,11 @@
         }
     }
 
-    /// Drops what is kept for nobody: fingerprints that have lapsed, checks that nobody waits for.
+    /// Drops what is kept for nobody: fingerprints that have lapsed, checks that nobody waits for, runs that
+    /// may never have begun.
     fn sweep(&mut self) {
         self.tasks.fingerprints.sweep(self.tasks.now);
+        self.tasks.send_again(false);
         self.checks.retain(|_, check| {
             let waits = check.since.elapsed() < LONGEST_CHECK;
             if !waits {
@@ -399,16 +401,8 @@
     fn replayed(&mut self) {
         let tasks = &mut self.tasks;
         tasks.link.replaying = false;
-        let came = tasks.link.came;
-        let unsure: Vec<String> = tasks
-            .slots
-            .iter()
-            .flatten()
-            .filter_map(|slot| slot.sent.as_ref().filter(|sent| sent.before >= came))
-            .map(|sent| sent.line.clone())
-            .collect();
-        unsure.into_iter().for_each(|line| tasks.send(line));
-        (tasks.link.came, tasks.link.answered_at) = (tasks.link.asked, tasks.now);
+        tasks.send_again(true);
+        tasks.link.answered_at = tasks.now;
     }
 
     /// A notice is counted once, whichever link it came over.
@@ -529,7 +523,7 @@
                 return;
             }
             let line = runtime::give(&slot.id, body);
-            tasks.command(task, line);
+            tasks.command(task, line, false);
         }
         task.call_over(server, tasks.now, outcome, took_ms, tasks);
     }
@@ -544,7 +538,8 @@
             tasks.serial += 1;
             self.checks.insert(tasks.serial, Check { peer, request, since: Instant::now() });
             let line = runtime::ask("selftest", &tasks.serial.to_string());
-            return tasks.send(line);
+            tasks.send(line);
+            return;
         }
         checked(&peer, request, tasks.good);
     }
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -24,6 +24,21 @@
     pub line: String,
     /// The gauges that were asked for next after it: their coming proves that it arrived.
     pub before: u64,
+    /// It went into a link, and may have arrived.
+    handed: bool,
+    /// It may not have arrived, and the link by which it went is gone.
+    adrift: bool,
+    /// It does no harm if it arrives twice, whatever the run does meanwhile.
+    harmless: bool,
+}
+
+impl Sent {
+    /// Whether it can go out on a new link. A run may end, or ask for its next call, while a second copy is
+    /// under way: it would run again, or get the wrong reply. Rather than that, the task waits for its due
+    /// time; once it is answered a second start is void.
+    pub fn can_go(&self, answered: bool) -> bool {
+        !self.handed || self.harmless || answered
+    }
 }
 
 /// A task that the module knows.
@@ -88,19 +103,44 @@
     }
 
     /// A command about a task; one that can't be sent now goes out when the link is made again.
-    pub fn command(&mut self, task: Handle, line: String) {
+    pub fn command(&mut self, task: Handle, line: String, harmless: bool) {
         let before = self.link.asked;
-        self.send(line.clone());
+        let handed = self.send(line.clone());
         if let Some(slot) = self.slot(task) {
-            slot.sent = Some(Sent { line, before });
+            slot.sent = Some(Sent { line, before, handed, adrift: false, harmless });
+        }
+    }
+
+    /// Sends a line, if there is a link that takes it.
+    pub fn send(&mut self, line: String) -> bool {
+        let (Some(commands), false) = (&self.link.commands, self.link.replaying) else { return false };
+        let sent = commands.try_send(line).is_ok();
+        if !sent {
+            self.link.commands = None; // it reads nothing: the link ends, and is made again
         }
+        sent
     }
 
-    pub fn send(&mut self, line: String) {
-        if let (Some(commands), false) = (&self.link.commands, self.link.replaying) {
-            if commands.try_send(line).is_err() {
-                self.link.commands = None; // it reads nothing: the link ends, and is made again
+    /// Sends again what may not have arrived. On a new link that is all that is not proven to have; what can't
+    /// go then is adrift, and goes once its task is answered.
+    pub fn send_again(&mut self, new_link: bool) {
+        for index in 0..self.slots.len() {
+            let Some(slot) = &mut self.slots[index] else { continue };
+            let answered = slot.back.is_none();
+            let Some(sent) = &mut slot.sent else { continue };
+            sent.adrift |= new_link && sent.before >= self.link.came;
+            if !sent.adrift || !sent.can_go(answered) {
+                continue;
             }
+            let line = sent.line.clone();
+            if self.send(line) {
+                if let Some(sent) = self.slots[index].as_mut().and_then(|slot| slot.sent.as_mut()) {
+                    (sent.handed, sent.adrift, sent.before) = (true, false, self.link.asked);
+                }
+            }
+        }
+        if new_link {
+            self.link.came = self.link.asked;
         }
     }
 
@@ -166,8 +206,9 @@
         let facts = self.facts.clone();
         let Some(slot) = self.slot(task) else { return };
         let line = runtime::start(&slot.id, &facts.stages[slot.stage], &slot.body);
+        let harmless = facts.told.stages[slot.stage].repeat == Repeat::Restartable;
         self.counters.runs_started.add();
-        self.command(task, line);
+        self.command(task, line, harmless);
     }
     fn stop(&mut self, _: Handle) {
         // The runtime has no such command: it ends a run at its next call, once its answer is out.
@@ -188,7 +229,7 @@
         let Some((no, _)) = slot.wants.take() else { return };
         let line = runtime::omit(&slot.id, no);
         self.counters.calls_skipped.add();
-        self.command(task, line);
+        self.command(task, line, true);
     }
     fn join(&mut self, task: Handle) {
         let Some(slot) = self.slot(task) else { return };
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -332,6 +332,7 @@
     let backend = Backend::start();
     let mut edge = backend.connect();
     backend.runtime.broken(|_| {
+        until("the break", || backend.log().contains("runtime: no link"));
         edge.task(1, "bid", A, &[KEY]);
         backend.counters_until(|count| count("runs_started") == 1);
     });
@@ -341,6 +342,21 @@
     assert_eq!(backend.runtime.commanded(), None);
 }
 
+#[test]
+fn a_start_that_may_have_arrived_is_not_repeated_before_its_task_is_answered() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    backend.runtime.deaf(true);
+    edge.task(1, "bid", A, &[KEY, ("HTTP_X_TIMEOUT_MS", "1500")]);
+    backend.counters_until(|count| count("runs_started") == 1);
+    backend.runtime.deaf(false);
+    // The run could end while a second start is under way, and then run twice.
+    assert_eq!(edge.status(1), "500");
+    assert_eq!(backend.runtime.command("start")["rid"], A);
+    backend.runtime.end(A, "NOOP", b"");
+    backend.counters_until(|count| count("runs_killed") == 1);
+}
+
 #[test]
 fn a_line_that_can_not_be_read_makes_the_link_anew() {
     let backend = Backend::start();
