A link whose replay is never answered is made again too; stalled requests have their own line

Observed: under six test runs at a time the test of a silent runtime waited in vain. The runtime had fallen silent between `ready` and the answer that ends the replay; Host::beat counted gauges as owed only outside a replay, so the link stayed and nothing was ever sent. Now the replay's answer counts as owed from `ready` on.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -102,6 +102,8 @@
     Idle,
     /// What it says can't be read; what is open is still answered.
     Malformed(Malformed),
+    /// Half a request stood still for longer than any caller waits; what is open is still answered.
+    Stalled,
     /// It began more than there is memory for; what is open is still answered.
     Crowded,
     /// It broke: nobody is there to be answered.
@@ -241,6 +243,12 @@
                     slog::warn!(self.log.lines, "edge: a connection ends, malformed"; "what" => %what);
                 }
             }
+            End::Stalled => {
+                self.counters.connections_malformed.add();
+                if self.log.may(&MALFORMED) {
+                    slog::warn!(self.log.lines, "edge: a connection ends, half a request stood still");
+                }
+            }
             End::Crowded => {
                 self.counters.connections_crowded.add();
                 if self.log.may(&CROWDED) {
@@ -386,7 +394,7 @@
             let quiet = self.clock().saturating_sub(since);
             let busy = peer.open.load(Ordering::Relaxed) > 0;
             if quiet >= limit && !busy {
-                return if half { End::Malformed(Malformed::Length) } else { End::Idle };
+                return if half { End::Stalled } else { End::Idle };
             }
             let wait = Some(Duration::from_millis(if busy { limit } else { limit - quiet }));
             if wait != waits {
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -277,9 +277,10 @@
         // meanwhile, or for half a second.
         let tasks = &mut self.tasks;
         let link = &mut tasks.link;
-        if link.asked == link.came {
+        let owed = if link.replaying { link.ready } else { link.asked != link.came };
+        if !owed {
             link.answered_at = now;
-        } else if now >= link.answered_at + SILENT_MS && !link.replaying {
+        } else if now >= link.answered_at + SILENT_MS {
             link.answered_at = now;
             link.commands = None; // the link ends, and is made again
         }
@@ -383,7 +384,8 @@
 
     fn linked(&mut self, commands: Sender<String>) {
         let _ = commands.try_send(runtime::sync(self.tasks.link.last));
-        (self.tasks.link.commands, self.tasks.link.replaying) = (Some(commands), true);
+        let link = &mut self.tasks.link;
+        (link.commands, link.replaying, link.ready) = (Some(commands), true, false);
     }
 
     /// The runtime is up and sends the notices that were missed. What was under way when the last link broke
@@ -391,7 +393,8 @@
     /// that no run that has ended is started. Asked any sooner, a runtime that is not up turns it down.
     fn ready(&mut self, cold: bool, ago_ms: f64) {
         self.begin(cold, ago_ms);
-        let link = &self.tasks.link;
+        let link = &mut self.tasks.link;
+        (link.ready, link.answered_at) = (true, self.tasks.now);
         if let Some(commands) = &link.commands {
             let _ = commands.try_send(runtime::ask("gauges", REPLAY));
         }
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -61,6 +61,8 @@
     pub commands: Option<Sender<String>>,
     /// The replay after a break is not through: nothing is sent yet.
     pub replaying: bool,
+    /// The runtime has said that it is up.
+    pub ready: bool,
     /// The last notice read.
     pub last: u64,
     /// The number of the next gauges asked for, and of the last that came.
--- a/crates/asterdale-fastcgi/src/record.rs
+++ b/crates/asterdale-fastcgi/src/record.rs
@@ -14,6 +14,8 @@
     Short(u8),
     /// A parameter that is longer than what holds it.
     Length,
+    /// More requests have begun, and not come whole, than a connection's may take.
+    TooMuch,
     /// A request was opened under the number of one that is open.
     Twice(u16),
 }
@@ -24,6 +26,7 @@
             Malformed::Version(version) => write!(f, "a record of version {version}"),
             Malformed::Short(kind) => write!(f, "a record of type {kind} that is too short"),
             Malformed::Length => f.write_str("a parameter longer than what holds it"),
+            Malformed::TooMuch => f.write_str("more begun than a connection's requests may take"),
             Malformed::Twice(id) => write!(f, "request {id} opened twice"),
         }
     }
--- a/crates/asterdale-fastcgi/src/requests.rs
+++ b/crates/asterdale-fastcgi/src/requests.rs
@@ -121,7 +121,7 @@
                     return Ok(self.remove(id).map_or(Step::Nothing, |whole| Step::Whole(id, whole)));
                 }
                 if self.bytes > MOST {
-                    return Err(Malformed::Length);
+                    return Err(Malformed::TooMuch);
                 }
             }
             _ => {}
@@ -196,7 +196,7 @@
         requests.take(record(1, 1, BEGIN), true).unwrap();
         requests.take(record(1, 2, BEGIN), true).unwrap();
         assert_eq!(requests.take(record(4, 1, &[0; 60_000]), true), Ok(Step::Nothing));
-        assert_eq!(requests.take(record(4, 2, &[0; 60_000]), true), Err(Malformed::Length));
+        assert_eq!(requests.take(record(4, 2, &[0; 60_000]), true), Err(Malformed::TooMuch));
     }
 
     #[test]
