Tests share the start of a running task; half of the descriptors always go to connections

Where few descriptors are told a quarter of them is less than calls take: 64 stay then, but never more than half, as edge nodes open half of them.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -120,9 +120,14 @@
             host,
             counters,
             log,
-            // Edge nodes open half of the descriptors at most; a quarter stays for all else. A connection
-            // takes up to 64 KiB by itself, stacks in the kernel included: a third of the memory.
-            most_connections: (start.descriptors * 3 / 4).min(start.memory / 3 / 65_536).max(1),
+            // Edge nodes open half of the descriptors at most. Of the rest some are for checks, 64 (fewer where
+            // there are few) for calls, the runtime and the registry. A connection takes up to 64 KiB by
+            // itself, stacks in the kernel included: a third of the memory.
+            most_connections: (start.descriptors * 3 / 4)
+                .min(start.descriptors.saturating_sub(64))
+                .max(start.descriptors / 2)
+                .min(start.memory / 3 / 65_536)
+                .max(1),
             unread: AtomicUsize::new(0),
             most_unread: start.memory / 4,
             longest: Duration::from_millis(longest as u64),
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -7,13 +7,22 @@
 
 use asterdale_fastcgi::kind;
 use serde_json::json;
-use stand_ins::{address, config, counter, launch, now, record, request, until, Backend, PATIENCE};
+use stand_ins::{address, config, counter, launch, now, record, request, until, Backend, Edge, PATIENCE};
 
 const A: &str = "00000000000000aa";
 const B: &str = "00000000000000bb";
 const C: &str = "00000000000000cc";
 const KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
 
+/// A backend, and an edge node's connection on which task A of this stage is open and runs.
+fn running(stage: &str) -> (Backend, Edge) {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, stage, A, if stage == "bid" { &[KEY] } else { &[] });
+    backend.runtime.command("start");
+    (backend, edge)
+}
+
 #[test]
 fn a_task_is_run_and_its_result_comes_back_unchanged_in_any_order() {
     let backend = Backend::start();
@@ -77,10 +86,7 @@
 
 #[test]
 fn a_repeat_of_one_that_failed_fails_and_never_runs() {
-    let backend = Backend::start();
-    let mut edge = backend.connect();
-    edge.task(1, "bid", A, &[KEY]);
-    backend.runtime.command("start");
+    let (backend, mut edge) = running("bid");
     backend.runtime.end(A, "FAIL", b"");
     assert_eq!(edge.status(1), "500");
     edge.task(2, "bid", B, &[KEY]);
@@ -90,10 +96,7 @@
 
 #[test]
 fn a_call_goes_below_and_its_reply_to_the_run() {
-    let backend = Backend::start();
-    let mut edge = backend.connect();
-    edge.task(1, "bid", A, &[KEY]);
-    backend.runtime.command("start");
+    let (backend, mut edge) = running("bid");
     for reply in [&b"one"[..], b"\0\xfe"] {
         backend.runtime.wants(A, b"need");
         let call = backend.records.call();
@@ -111,10 +114,7 @@
 #[test]
 fn a_call_that_may_have_run_is_not_made_again() {
     for bad in ["500 Error", "504 Late", "503 Busy", "nonsense", ""] {
-        let backend = Backend::start();
-        let mut edge = backend.connect();
-        edge.task(1, "bid", A, &[KEY]);
-        backend.runtime.command("start");
+        let (backend, mut edge) = running("bid");
         backend.runtime.wants(A, b"need");
         let call = backend.records.call();
         match bad {
@@ -132,10 +132,7 @@
 #[test]
 fn a_call_that_never_began_is_made_again() {
     for never in ["503 Busy\r\nOp-Not-Begun: 1", "409 Conflict\r\nOp-Not-Begun: 1"] {
-        let backend = Backend::start();
-        let mut edge = backend.connect();
-        edge.task(1, "bid", A, &[KEY]);
-        backend.runtime.command("start");
+        let (backend, mut edge) = running("bid");
         backend.runtime.wants(A, b"need");
         backend.records.call().reply(never, b"");
         backend.records.call().reply("200 OK", b"now");
@@ -147,10 +144,7 @@
 
 #[test]
 fn a_run_goes_on_without_a_call_that_can_be_left_out_and_fails() {
-    let backend = Backend::start();
-    let mut edge = backend.connect();
-    edge.task(1, "page", A, &[]);
-    backend.runtime.command("start");
+    let (backend, mut edge) = running("page");
     backend.runtime.wants(A, b"need");
     backend.records.call().reply("500 Error", b"");
     backend.records.call().reply("500 Error", b"");
@@ -387,10 +381,7 @@
 
 #[test]
 fn a_start_that_is_turned_down_abandons_its_task() {
-    let backend = Backend::start();
-    let mut edge = backend.connect();
-    edge.task(1, "page", A, &[]);
-    backend.runtime.command("start");
+    let (backend, mut edge) = running("page");
     backend.runtime.say(&json!({"t": "nack", "status": "start", "rid": A}).to_string());
     assert_eq!(edge.status(1), "500");
 }
