Numbers and keys made up at random can't fill the memory

Checked by reading every table that a peer's words index: the callers' map and the fingerprints grew without a bound of their own (the module reckons keys against the runtime's memory, which says nothing of this process's). Callers beyond 4,096 numbers count as one; a new fingerprinted task is refused with OVERLOADED while entries fill an eighth of the memory, since one that can't be remembered must not run.

--- a/crates/asterdale-daemon/src/counters.rs
+++ b/crates/asterdale-daemon/src/counters.rs
@@ -67,7 +67,7 @@
     tasks_open,
     /// Answered with 400: a field was missing or senseless.
     tasks_senseless,
-    /// Answered with OVERLOADED: more open requests than a connection may carry.
+    /// Answered with OVERLOADED: more open requests than a connection may carry, or fingerprints than are kept.
     requests_over,
     /// Passed over: opened under the number of one that is open.
     requests_twice,
--- a/crates/asterdale-daemon/src/fingerprints.rs
+++ b/crates/asterdale-daemon/src/fingerprints.rs
@@ -43,15 +43,23 @@
     /// Of the results in it.
     bytes: usize,
     most_bytes: usize,
+    most: usize,
     /// The longest that a task lies unread after it came to the machine: entries stay that much longer.
     unread_ms: f64,
 }
 
 impl Fingerprints {
-    /// An empty table. Results over `most_bytes` in all are not kept: their repeats are abandoned, and
-    /// still never run.
-    pub fn new(most_bytes: usize, unread_ms: f64) -> Fingerprints {
-        Fingerprints { entries: HashMap::new(), bytes: 0, most_bytes, unread_ms }
+    /// An empty table in a process of so much memory. A quarter of that is for results: those over it are not
+    /// kept, and their repeats are abandoned, still never run. An eighth is for the entries themselves, at
+    /// 512 bytes each.
+    pub fn new(memory: usize, unread_ms: f64) -> Fingerprints {
+        let (most_bytes, most) = (memory / 4, memory / 8 / 512);
+        Fingerprints { entries: HashMap::new(), bytes: 0, most_bytes, most, unread_ms }
+    }
+
+    /// Nothing more can be remembered.
+    pub fn is_full(&self) -> bool {
+        self.entries.len() >= self.most
     }
 
     /// Whether a task that came to the machine at `arrived` repeats one that is remembered.
@@ -142,7 +150,7 @@
     }
 
     fn table() -> Fingerprints {
-        let mut table = Fingerprints::new(100, 50.0);
+        let mut table = Fingerprints::new(8192, 50.0);
         assert!(table.remember(mark(), 1, 1000.0, None).is_empty());
         table
     }
@@ -189,14 +197,24 @@
     #[test]
     fn results_over_the_bound_are_not_kept_but_their_repeats_are_known() {
         let mut table = table();
-        table.ended(&mark(), 1, 10.0, Some(vec![0; 101].into()));
+        table.ended(&mark(), 1, 10.0, Some(vec![0; 2049].into()));
         assert!(table.knows(&mark(), 500.0));
         assert!(matches!(table.join(&mark(), 3), Fate::Failed));
     }
 
+    #[test]
+    fn it_is_full_before_it_takes_more_than_its_part_of_the_memory() {
+        let mut table = table();
+        assert!(!table.is_full());
+        table.remember(Mark { stage: 0, ..mark() }, 2, 1000.0, None);
+        assert!(table.is_full());
+        table.forget(&mark(), 1);
+        assert!(!table.is_full());
+    }
+
     #[test]
     fn a_read_serves_others_while_open_and_for_a_while_after_it_ended_well() {
-        let mut table = Fingerprints::new(100, 50.0);
+        let mut table = Fingerprints::new(8192, 50.0);
         table.remember(mark(), 1, 20.0, Some(20.0));
         assert!(table.knows(&mark(), 500.0));
         table.ended(&mark(), 1, 600.0, Some(vec![1].into()));
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use asterdale::told::{Arrival, Gauges, Outcome};
+use asterdale::told::{Arrival, Gauges, Outcome, Repeat};
 use asterdale::Server;
-use asterdale_fastcgi::Answer;
+use asterdale_fastcgi::{ended, refusal, Answer};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use crate::counters::{resident_kib, Counters};
@@ -28,6 +28,9 @@
 const SILENT_MS: f64 = 3000.0;
 /// A deep check without a verdict fails after so long; nobody waits for it any more.
 const LONGEST_CHECK: Duration = Duration::from_secs(10);
+/// Callers that the module is told apart, by their numbers: those beyond count as one, so that numbers made up
+/// at random don't fill the memory. Far more than there are edge nodes.
+const MOST_CALLERS: usize = 4096;
 /// What is kept for nobody is looked for this often.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -147,8 +150,7 @@
                 by_serial: HashMap::new(),
                 serial: 0,
                 arriving: None,
-                // A quarter of the process's memory is for results.
-                fingerprints: Fingerprints::new(start.memory / 4, longest),
+                fingerprints: Fingerprints::new(start.memory, longest),
                 joined: VecDeque::new(),
                 not_begun: VecDeque::new(),
                 link: Link::default(),
@@ -307,23 +309,35 @@
             tasks.counters.tasks_senseless.add();
             return peer.answer(senseless(request));
         }
-        tasks.counters.tasks_taken.add();
-        tasks.counters.tasks_open.add();
         // Stamps are by the Unix clock, as is this difference alone.
         let since_ms = (unix_ms() - start_ms).max(0.0);
+        let repeat = mark.as_ref().is_some_and(|mark| tasks.fingerprints.knows(mark, tasks.now - since_ms));
+        let marked = tasks.facts.told.stages[stage].repeat == Repeat::Fingerprinted;
+        if marked && !repeat && tasks.fingerprints.is_full() {
+            // It could not be remembered, and so must not run.
+            tasks.counters.requests_over.add();
+            return peer.answer(refusal(request, ended::OVERLOADED));
+        }
+        tasks.counters.tasks_taken.add();
+        tasks.counters.tasks_open.add();
         // None lies unread for longer than any client waits: a stamp that says so is wrong, and would be
         // taken for a backlog.
         let unread_ms = since_ms.min(tasks.facts.told.stages[stage].limit_ms);
         let next = self.callers.len();
+        let caller = match self.callers.get(&caller) {
+            Some(&known) => known,
+            None if next < MOST_CALLERS => *self.callers.entry(caller).or_insert(next),
+            None => MOST_CALLERS,
+        };
         let arrival = Arrival {
             stage,
             customer: 0,
-            caller: *self.callers.entry(caller).or_insert(next),
+            caller,
             unread_ms,
             left_ms: timeout_ms.map(|ms| (ms - since_ms).max(0.0)),
             hint_ms,
             kb,
-            repeat: mark.as_ref().is_some_and(|mark| tasks.fingerprints.knows(mark, tasks.now - since_ms)),
+            repeat,
         };
         tasks.serial += 1;
         let (serial, back) = (tasks.serial, Some((peer, request)));
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -250,6 +250,9 @@
         let Some(mark) = slot.mark.clone() else { return };
         let restartable = facts.told.stages[slot.stage].repeat == Repeat::Restartable;
         let serial = slot.serial;
+        if restartable && self.fingerprints.is_full() {
+            return; // a repeat of it runs by itself
+        }
         let before = self.fingerprints.remember(mark, serial, until, restartable.then_some(for_ms));
         self.tell(before, None);
     }
