An edge node with 32 open requests is never one too many by a race

Found by reading the writer: it counted an answer as given only after it was written, so a peer that opens its next request as soon as it has read the answer could meet a count of 32 and be refused with OVERLOADED. Answers are counted when the writer takes them, before the write; the reader looks at the count before it looks at the time of the last write, so that it never takes a connection for idle that is being answered.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -33,7 +33,7 @@
     /// A number that no other connection of this process has.
     pub connection: u64,
     answers: Sender<Answer>,
-    /// Requests that went to the host and whose answer is not written.
+    /// Requests that went to the host and whose answer the writer does not have.
     open: AtomicUsize,
     /// When the writer last wrote, in milliseconds since the edge began.
     wrote: AtomicU64,
@@ -322,6 +322,11 @@
                     Err(_) => control = never(),
                 },
             }
+            // Counted before they are written: the peer may open the next ones as soon as it has read these.
+            if let Some(peer) = peer.upgrade() {
+                peer.wrote.store(self.clock(), Ordering::Relaxed);
+                peer.open.fetch_sub(owed, Ordering::AcqRel);
+            }
             let mut pieces: Vec<IoSlice<'_>> = ready.iter().flat_map(Answer::slices).collect();
             if !broken && gather::write(stream, &mut pieces).is_err() {
                 broken = true;
@@ -329,10 +334,6 @@
                 let _ = stream.shutdown(Shutdown::Both);
                 let _ = self.host.send(Mail::Gone(connection));
             }
-            if let Some(peer) = peer.upgrade() {
-                peer.wrote.store(self.clock(), Ordering::Relaxed);
-                peer.open.fetch_sub(owed, Ordering::Relaxed);
-            }
         }
     }
 
@@ -348,7 +349,7 @@
         let (mut last, mut waits) = (self.clock(), None);
         loop {
             loop {
-                let open = peer.open.load(Ordering::Relaxed) + requests.begun();
+                let open = peer.open.load(Ordering::Acquire) + requests.begun();
                 let step = match incoming.take() {
                     Ok(Some(record)) => requests.take(record, open < MOST_OPEN),
                     Ok(None) => break,
@@ -395,9 +396,10 @@
                 0 => self.longest.as_millis() as u64 * 1000,
                 idle => idle,
             };
+            // In this order: the writer says when it writes before it counts.
+            let busy = peer.open.load(Ordering::Acquire) > 0;
             let since = last.max(peer.wrote.load(Ordering::Relaxed));
             let quiet = self.clock().saturating_sub(since);
-            let busy = peer.open.load(Ordering::Relaxed) > 0;
             if quiet >= limit && !busy {
                 return if half { End::Stalled } else { End::Idle };
             }
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -269,11 +269,13 @@
     }
     let answer = edge.answer().unwrap();
     assert_eq!((answer.request, answer.state), (33, 2));
-    for n in 1..=32u16 {
+    // Whoever opens the next one as soon as it has an answer is never one too many.
+    for n in 1..=2000u16 {
         let command = backend.runtime.command("start");
-        assert_eq!(command["rid"], format!("{n:016x}"));
-        backend.runtime.end(&format!("{n:016x}"), "PASS", b"");
-        assert_eq!(edge.status(n), "200");
+        let id = command["rid"].as_str().unwrap();
+        backend.runtime.end(id, "PASS", b"");
+        assert_eq!(edge.answer().unwrap().status(), "200");
+        edge.task(100 + n, "page", &format!("{:016x}", 100 + n), &[]);
     }
 }
 
