Leaving: connections that came last are let end as well

Found by reading: Edge::close let only the connections end that were known when it began; one accepted from the backlog after that stayed open until the process ended, and a request on it then could be lost. They are now let end every 50 ms until none is open.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -154,12 +154,15 @@
         self.connections.lock().map_or(0, |all| all.len())
     }
 
-    /// Stops listening, after the connections that the machine has accepted are taken, and lets every
-    /// connection end once all that came over it is answered.
+    /// Stops listening, after the connections that the machine has accepted are taken.
     pub fn close(&self) {
         self.closing.store(true, Ordering::SeqCst);
-        // The listener's thread waits in accept: a connection wakes it, which it drops.
+        // The listener's thread waits in accept: a connection wakes it, which is dropped at once.
         let _ = TcpStream::connect_timeout(&self.listen, Duration::from_millis(100));
+    }
+
+    /// Lets every connection end once all that has come over it is answered.
+    pub fn hush(&self) {
         if let Ok(all) = self.connections.lock() {
             for stream in all.values().filter_map(Weak::upgrade) {
                 let _ = stream.shutdown(Shutdown::Read);
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -24,6 +24,8 @@
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
 /// that is shorter by this, or by a quarter of a very short one.
 const WAY_OUT_MS: f64 = 300.0;
+/// While leaving, connections that came last are let end after so long: a request crosses a close no longer.
+const HUSH: Duration = Duration::from_millis(50);
 /// A runtime that owes gauges for so long may have lost its link without a word. A new one does no harm.
 const SILENT_MS: f64 = 3000.0;
 /// A deep check without a verdict fails after so long; nobody waits for it any more.
@@ -216,7 +218,13 @@
     fn left(&mut self, mailbox: &Receiver<Mail>) -> bool {
         self.tasks.edge.close();
         let last = Instant::now() + Duration::from_millis((0.8 * self.way_out_ms()) as u64);
+        let mut hush = Instant::now();
         while self.tasks.edge.open() > 0 && Instant::now() < last {
+            // Again and again: connections that were accepted last have had time to bring their request.
+            if Instant::now() >= hush {
+                self.tasks.edge.hush();
+                hush += HUSH;
+            }
             if let Ok(mail) = mailbox.recv_timeout(Duration::from_millis(2)) {
                 self.handle(mail);
             }
