--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -24,6 +24,8 @@
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
 /// that is shorter by this, or by a quarter of a very short one.
 const WAY_OUT_MS: f64 = 300.0;
+/// Gauges are asked for so long before the beat that uses them: several times what the answer takes.
+const AHEAD_MS: f64 = 1.5;
 /// While leaving, connections that came last are let end after so long: a request crosses a close no longer.
 const HUSH: Duration = Duration::from_millis(50);
 /// A runtime that owes gauges for so long may have lost its link without a word. A new one does no harm.
@@ -129,6 +131,8 @@
     checks: HashMap<Serial, Check>,
     /// The last call got a reply, whatever it said.
     records_well: bool,
+    /// When to ask for gauges.
+    ask_at: f64,
     stop_ms: f64,
     leaving: Sender<()>,
     /// When all must be answered, once the notice has come.
@@ -169,6 +173,7 @@
             callers: HashMap::new(),
             checks: HashMap::new(),
             records_well: true,
+            ask_at: f64::INFINITY,
             stop_ms: start.stop_ms,
             leaving,
             leave_by: None,
@@ -179,13 +184,16 @@
     pub fn serve(&mut self, mailbox: &Receiver<Mail>) {
         let mut sweep = Instant::now() + SWEEP;
         loop {
-            let wait = (self.tasks.wake_at - self.clock.now()).clamp(0.0, 50.0);
+            let wait = (self.tasks.wake_at.min(self.ask_at) - self.clock.now()).clamp(0.0, 50.0);
             match mailbox.recv_timeout(Duration::from_micros((wait * 1000.0) as u64)) {
                 Ok(mail) => self.handle(mail),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             self.tasks.now = self.clock.now();
+            if self.tasks.now >= self.ask_at {
+                self.ask();
+            }
             if self.tasks.now >= self.tasks.wake_at {
                 self.beat();
             }
@@ -283,8 +291,14 @@
             server.beat(now, self.gauges, tasks);
         }
         self.settle();
-        // Asked for now, they are there at the next beat. A runtime that is slow to answer is not asked again
-        // meanwhile, or for half a second.
+        self.ask_at = self.tasks.wake_at - AHEAD_MS;
+    }
+
+    /// Asks for the gauges, a moment before the beat that uses them. A runtime that is slow to answer is not
+    /// asked again meanwhile, or for half a second.
+    fn ask(&mut self) {
+        self.ask_at = f64::INFINITY;
+        let now = self.tasks.now;
         let tasks = &mut self.tasks;
         let link = &mut tasks.link;
         let owed = if link.replaying { link.ready } else { link.asked != link.came };
