Silence of the runtime is counted by beats, so that a pause of the machine is none

Found by reading: after a pause of 3 s the first beat came before the answers that lay in the mailbox, and took a link for dead that was well. Checked with the probe and SIGSTOP of 0.7, 1.5 and 4 s: no link made anew, no run or call made twice, no wrong reply; what was late was written during the pause.

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -28,8 +28,9 @@
 const AHEAD_MS: f64 = 1.5;
 /// While leaving, connections that came last are let end after so long: a request crosses a close no longer.
 const HUSH: Duration = Duration::from_millis(50);
-/// A runtime that owes gauges for so long may have lost its link without a word. A new one does no harm.
-const SILENT_MS: f64 = 3000.0;
+/// A runtime that owes gauges for so many beats (3 s) may have lost its link without a word. A new one does no
+/// harm.
+const SILENT: u32 = 300;
 /// A deep check without a verdict fails after so long; nobody waits for it any more.
 const LONGEST_CHECK: Duration = Duration::from_secs(10);
 /// Callers that the module is told apart, by their numbers: those beyond count as one, so that numbers made up
@@ -301,11 +302,11 @@
         let now = self.tasks.now;
         let tasks = &mut self.tasks;
         let link = &mut tasks.link;
+        // Counted by beats: while the machine pauses there are none, and the runtime owes nothing.
         let owed = if link.replaying { link.ready } else { link.asked != link.came };
-        if !owed {
-            link.answered_at = now;
-        } else if now >= link.answered_at + SILENT_MS {
-            link.answered_at = now;
+        link.silent = if owed { link.silent + 1 } else { 0 };
+        if link.silent >= SILENT {
+            link.silent = 0;
             link.commands = None; // the link ends, and is made again
         }
         let due = link.asked == link.came || now >= link.asked_at + 500.0;
@@ -430,7 +431,7 @@
     fn ready(&mut self, cold: bool, ago_ms: f64) {
         self.begin(cold, ago_ms);
         let link = &mut self.tasks.link;
-        (link.ready, link.answered_at) = (true, self.tasks.now);
+        (link.ready, link.silent) = (true, 0);
         if let Some(commands) = &link.commands {
             let _ = commands.try_send(runtime::ask("gauges", REPLAY));
         }
@@ -438,10 +439,8 @@
 
     /// All missed notices are read: what may not have arrived is sent again.
     fn replayed(&mut self) {
-        let tasks = &mut self.tasks;
-        tasks.link.replaying = false;
-        tasks.send_again(true);
-        tasks.link.answered_at = tasks.now;
+        self.tasks.link.replaying = false;
+        self.tasks.send_again(true);
     }
 
     /// A notice is counted once, whichever link it came over.
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -69,8 +69,8 @@
     pub asked: u64,
     pub came: u64,
     pub asked_at: f64,
-    /// When none was owed last.
-    pub answered_at: f64,
+    /// Beats for which gauges are owed.
+    pub silent: u32,
 }
 
 /// Everything but the decisions: what the module's answers act on.
