--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// The one place where an answer goes out. `false` if none is owed any more.
+    /// The one place where a task that is still waited for is answered. `false` if it is not.
     pub fn answer(&mut self, task: Handle, head: &str, body: Arc<[u8]>) -> bool {
         let Some((peer, request)) = self.slot(task).and_then(|slot| slot.back.take()) else { return false };
         self.counters.tasks_open.sub();
