SIGHUP moves the peers; each call below has a connection of its own

A dump of replies showed 1xx heads before, second copies and noise after good replies, and Content-Length fields that disagree: http.rs took a 1xx head for the reply and the first of two lengths, records.rs kept connections on which the rest of a reply could be read as the next one. Idle connections that are forgotten could not be told from calls that had run.

Changed: the start file is read again by the signals' thread; the host hands new addresses to records, list and runtime, and moves the link only once gauges prove that every command on the old one arrived. A call has a connection of its own; lengths must be digits and agree; interim replies are passed over.

--- a/crates/asterdale-daemon/src/counters.rs
+++ b/crates/asterdale-daemon/src/counters.rs
@@ -109,6 +109,10 @@
     accept_pauses,
     /// Links made to the runtime.
     links,
+    /// Times that the start file was read again.
+    reloads,
+    /// Times that it could not be, and the old one stayed.
+    reloads_failed,
     /// Lines from the runtime that can't be read.
     lines_bad,
     /// Fingerprints and results kept now.
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -3,6 +3,7 @@
 //! nothing by itself.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,8 +18,9 @@
 use crate::head::{Asked, Id};
 use crate::log::{Kind, Log};
 use crate::records::Records;
+use crate::registry::Word;
 use crate::runtime::{self, How, Line};
-use crate::start::Start;
+use crate::start::{Peers, Start};
 use crate::tasks::{Link, Slot, Tasks};
 
 /// For answers to get out and connections to end, before the process is killed: the module is told a notice
@@ -39,6 +41,11 @@
 /// What is kept for nobody is looked for this often.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Before the link moves to another address, so long is waited for the proof that all commands arrived.
+const MOVING_MS: f64 = 300.0;
+
+/// Marks the gauges whose coming proves that all commands on a link that is to end arrived.
+const LAST: &str = "last";
 /// Marks the gauges whose coming shows that all missed notices were sent.
 const REPLAY: &str = "replay";
 
@@ -76,6 +83,8 @@
         /// The reply.
         body: Vec<u8>,
     },
+    /// The peers listen here from now on.
+    Moved(Peers),
     /// The notice to leave.
     Leave,
     /// Print the counters.
@@ -112,8 +121,10 @@
     pub records: Records,
     /// Has the connections.
     pub edge: Arc<Edge>,
-    /// Tells the list's actor that the backend leaves.
-    pub leaving: Sender<()>,
+    /// The list's actor.
+    pub list: Sender<Word>,
+    /// The runtime's actor takes a new address here.
+    pub moves: Sender<SocketAddr>,
     /// Counts.
     pub counters: Arc<Counters>,
     /// Has lines.
@@ -135,7 +146,10 @@
     /// When to ask for gauges.
     ask_at: f64,
     stop_ms: f64,
-    leaving: Sender<()>,
+    /// Where the peers listen.
+    peers: Peers,
+    list: Sender<Word>,
+    moves: Sender<SocketAddr>,
     /// When all must be answered, once the notice has come.
     leave_by: Option<Instant>,
 }
@@ -143,7 +157,7 @@
 impl Host {
     /// A host with nothing in it.
     pub fn new(start: &Start, around: Around) -> Host {
-        let Around { records, edge, leaving, counters, log } = around;
+        let Around { records, edge, list, moves, counters, log } = around;
         let facts = start.facts.clone();
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(0.0, f64::max);
         let clock = Clock { unix: unix_ms(), began: Instant::now() };
@@ -176,7 +190,9 @@
             records_well: true,
             ask_at: f64::INFINITY,
             stop_ms: start.stop_ms,
-            leaving,
+            peers: start.peers,
+            list,
+            moves,
             leave_by: None,
         }
     }
@@ -268,6 +284,7 @@
             }
             Mail::Line(line) => self.line(line),
             Mail::Called { who, outcome, took_ms, body } => self.called(who, outcome, took_ms, &body),
+            Mail::Moved(peers) => self.moved(peers),
             Mail::Leave => self.leave(),
             Mail::Report => self.report(),
         }
@@ -303,6 +320,9 @@
         let tasks = &mut self.tasks;
         let link = &mut tasks.link;
         // Counted by beats: while the machine pauses there are none, and the runtime owes nothing.
+        if now >= link.move_by {
+            (link.move_by, link.commands) = (f64::INFINITY, None);
+        }
         let owed = if link.replaying { link.ready } else { link.asked != link.came };
         link.silent = if owed { link.silent + 1 } else { 0 };
         if link.silent >= SILENT {
@@ -423,6 +443,7 @@
         let _ = commands.try_send(runtime::sync(self.tasks.link.last));
         let link = &mut self.tasks.link;
         (link.commands, link.replaying, link.ready) = (Some(commands), true, false);
+        link.move_by = f64::INFINITY;
     }
 
     /// The runtime is up and sends the notices that were missed. What was under way when the last link broke
@@ -443,6 +464,38 @@
         self.tasks.send_again(true);
     }
 
+    /// The start file was read again. Calls and reports go to the new addresses from now on. The link to the
+    /// runtime moves once all commands on the old one have arrived: what comes meanwhile waits for the new.
+    fn moved(&mut self, to: Peers) {
+        let was = std::mem::replace(&mut self.peers, to);
+        self.tasks.counters.reloads.add();
+        slog::info!(self.tasks.log.lines, "host: the start file is read again"; "runtime" => %to.runtime,
+            "records" => %to.records, "registry" => %to.registry);
+        self.tasks.records.go_to(to.records);
+        if was.registry != to.registry {
+            let _ = self.list.try_send(Word::Move(to.registry));
+        }
+        if was.runtime == to.runtime {
+            return;
+        }
+        let _ = self.moves.try_send(to.runtime);
+        if self.tasks.link.replaying {
+            // One that is moving goes on; one that takes nothing yet has nothing to lose.
+            if !self.tasks.link.move_by.is_finite() {
+                self.tasks.link.commands = None;
+            }
+        } else if self.tasks.send(runtime::ask("gauges", LAST)) {
+            (self.tasks.link.replaying, self.tasks.link.move_by) = (true, self.tasks.now + MOVING_MS);
+        }
+    }
+
+    /// Every command on the link that is to end has arrived.
+    fn flushed(&mut self) {
+        let link = &mut self.tasks.link;
+        link.asked += 1;
+        (link.came, link.move_by, link.commands) = (link.asked, f64::INFINITY, None);
+    }
+
     /// A notice is counted once, whichever link it came over.
     fn first(&mut self, no: u64) -> bool {
         let new = no > self.tasks.link.last;
@@ -468,6 +521,7 @@
                 match mark.parse::<u64>() {
                     Ok(number) => self.tasks.link.came = self.tasks.link.came.max(number + 1),
                     Err(_) if mark == REPLAY => self.replayed(),
+                    Err(_) if mark == LAST => self.flushed(),
                     Err(_) => {}
                 }
                 self.read_gauges(&values);
@@ -589,7 +643,7 @@
         let left_ms = self.stop_ms - self.way_out_ms();
         slog::info!(self.tasks.log.lines, "host: leaving"; "answers_within_ms" => left_ms);
         self.leave_by = Some(Instant::now() + Duration::from_millis(left_ms as u64));
-        let _ = self.leaving.try_send(());
+        let _ = self.list.try_send(Word::Leave);
         self.begin(false, 0.0);
         if let Some(server) = &mut self.server {
             server.leave(self.tasks.now, left_ms, &mut self.tasks);
--- a/crates/asterdale-daemon/src/http.rs
+++ b/crates/asterdale-daemon/src/http.rs
@@ -14,8 +14,6 @@
     pub status: u16,
     /// It carries `Op-Not-Begun: 1`.
     pub not_begun: bool,
-    /// The connection may carry another call.
-    pub keep: bool,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -24,12 +22,12 @@
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
-/// Reads one reply, until `end` at the latest.
+/// Reads one reply, until `end` at the latest. What comes after it is nobody's.
 pub fn reply(mut stream: &TcpStream, end: Instant) -> io::Result<Reply> {
     let mut got = Vec::with_capacity(1024);
     let mut chunk = [0; 4096];
     loop {
-        if let Some((reply, _)) = parse(&got)? {
+        if let Some(reply) = parse(&got)? {
             return Ok(reply);
         }
         let left = end.saturating_duration_since(Instant::now());
@@ -50,38 +48,43 @@
     }
 }
 
-/// The reply that these bytes begin with, and its length, once it is whole.
-fn parse(got: &[u8]) -> io::Result<Option<(Reply, usize)>> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut head = httparse::Response::new(&mut headers);
-    let at = match head.parse(got) {
-        Ok(httparse::Status::Complete(at)) => at,
-        Ok(httparse::Status::Partial) if got.len() > MOST => return Err(bad("a head too long")),
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(bad("no HTTP")),
-    };
-    let field = |name: &str| {
-        head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value.trim_ascii())
-    };
-    let status = head.code.unwrap_or(0);
-    if field("transfer-encoding").is_some() {
-        return Err(bad("a body in chunks"));
+/// The reply that these bytes begin with, once it is whole. Interim replies before it are passed over.
+fn parse(mut got: &[u8]) -> io::Result<Option<Reply>> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut head = httparse::Response::new(&mut headers);
+        let at = match head.parse(got) {
+            Ok(httparse::Status::Complete(at)) => at,
+            Ok(httparse::Status::Partial) if got.len() > MOST => return Err(bad("a head too long")),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(bad("no HTTP")),
+        };
+        let status = head.code.unwrap_or(0);
+        if (100..200).contains(&status) && status != 101 {
+            got = &got[at..];
+            continue;
+        }
+        let fields = |name: &'static str| {
+            let all = head.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
+            all.map(|h| h.value.trim_ascii())
+        };
+        if fields("transfer-encoding").next().is_some() {
+            return Err(bad("a body in chunks"));
+        }
+        let length = length(fields("content-length"), status).ok_or_else(|| bad("no sure length"))?;
+        let Some(body) = got.get(at..at + length) else { return Ok(None) };
+        let not_begun = fields("op-not-begun").next() == Some(b"1");
+        return Ok(Some(Reply { status, not_begun, body: body.to_vec() }));
     }
-    let length = match field("content-length") {
-        Some(text) => std::str::from_utf8(text).ok().and_then(|text| text.parse().ok()),
-        None if status == 204 || status == 304 => Some(0),
-        None => None,
-    };
-    let length: usize = length.filter(|&n| n <= MOST).ok_or_else(|| bad("a body of no known length"))?;
-    let Some(body) = got.get(at..at + length) else { return Ok(None) };
-    let close = field("connection").is_some_and(|text| text.eq_ignore_ascii_case(b"close"));
-    let reply = Reply {
-        status,
-        not_begun: field("op-not-begun") == Some(b"1"),
-        keep: !close && head.version == Some(1) && got.len() == at + length,
-        body: body.to_vec(),
-    };
-    Ok(Some((reply, at + length)))
+}
+
+/// The length of the body: digits alone, and the same in all fields that tell it.
+fn length<'a>(mut told: impl Iterator<Item = &'a [u8]>, status: u16) -> Option<usize> {
+    let Some(first) = told.next() else { return (status == 204 || status == 304).then_some(0) };
+    if told.any(|other| other != first) || !first.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(first).ok()?.parse().ok().filter(|&n| n <= MOST)
 }
 
 #[cfg(test)]
@@ -94,9 +97,8 @@
         for cut in 0..text.len() {
             assert!(parse(&text[..cut]).unwrap().is_none(), "cut at {cut}");
         }
-        let (reply, length) = parse(text).unwrap().unwrap();
-        let wanted = Reply { status: 503, not_begun: true, keep: true, body: b"abc".to_vec() };
-        assert_eq!((reply, length), (wanted, text.len()));
+        let wanted = Reply { status: 503, not_begun: true, body: b"abc".to_vec() };
+        assert_eq!(parse(text).unwrap(), Some(wanted));
     }
 
     #[test]
@@ -105,10 +107,23 @@
             "HTTP/1.1 200 OK\r\n\r\nabc",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nabc",
+            "HTTP/1.1 101 Other\r\n\r\n",
             "SMTP ready\r\n\r\n",
         ] {
             assert!(parse(text.as_bytes()).is_err(), "{text:?}");
         }
-        assert_eq!(parse(b"HTTP/1.1 204 Done\r\n\r\n").unwrap().unwrap().0.status, 204);
+        assert_eq!(parse(b"HTTP/1.1 204 Done\r\n\r\n").unwrap().unwrap().status, 204);
+    }
+
+    #[test]
+    fn interim_replies_before_it_and_noise_after_it_are_no_part_of_it() {
+        let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n\
+            HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Le\xff";
+        let wanted = Reply { status: 200, not_begun: false, body: b"ok".to_vec() };
+        assert_eq!(parse(text).unwrap(), Some(wanted));
+        assert_eq!(parse(&text[..40]).unwrap(), None);
     }
 }
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -19,18 +19,20 @@
 use std::thread;
 
 use crossbeam_channel::{bounded, Sender};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 use counters::Counters;
 use edge::Edge;
 use host::{Around, Host, Mail};
-use log::Log;
+use log::{Kind, Log};
 use records::Records;
 use start::Start;
 
 /// Mail that waits for the host. Whoever sends more waits: a connection's reader reads no further.
 const WAITING: usize = 4096;
+/// Words to the list's or the runtime's actor that it has not read.
+const WORDS: usize = 16;
 /// Of threads that wait for one thing and keep their buffers on the heap.
 const STACK: usize = 128 * 1024;
 
@@ -39,10 +41,24 @@
     thread.spawn(work).map(drop).map_err(|e| format!("no thread for {name}: {e}"))
 }
 
-/// Signals become mail.
-fn signals(mut signals: Signals, host: &Sender<Mail>) {
+/// Signals become mail. SIGHUP reads the start file again; one that can't be read changes nothing.
+fn signals(mut signals: Signals, host: &Sender<Mail>, counters: &Counters, log: &Log) {
+    static UNREADABLE: Kind = Kind::new();
     for signal in signals.forever() {
-        let mail = if signal == SIGUSR1 { Mail::Report } else { Mail::Leave };
+        let mail = match signal {
+            SIGUSR1 => Mail::Report,
+            SIGHUP => match start::from_environment() {
+                Ok(start) => Mail::Moved(start.peers),
+                Err(what) => {
+                    counters.reloads_failed.add();
+                    if log.may(&UNREADABLE) {
+                        slog::error!(log.lines, "host: the start file is passed over"; "why" => what);
+                    }
+                    continue;
+                }
+            },
+            _ => Mail::Leave,
+        };
         if host.send(mail).is_err() {
             return;
         }
@@ -51,21 +67,23 @@
 
 fn serve(start: Start, log: &Log) -> Result<(), String> {
     let (mail, mailbox) = bounded(WAITING);
-    let (leaving, left) = bounded(1);
+    let (list, for_list) = bounded(WORDS);
+    let (moves, moved) = bounded(WORDS);
     let counters = Arc::new(Counters::default());
     let edge = Arc::new(Edge::new(&start, mail.clone(), counters.clone(), log.clone()));
     let listener = edge.bind().map_err(|e| format!("listen: {}: {e}", start.listen))?;
-    let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
-    let host = mail.clone();
-    spawn("signals", move || signals(caught, &host))?;
+    let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let (host, counted, lines) = (mail.clone(), counters.clone(), log.clone());
-    spawn("runtime", move || runtime::link(start.runtime, &host, &counted, &lines))?;
-    let (counted, lines, name) = (counters.clone(), log.clone(), start.name.clone());
-    spawn("registry", move || registry::report(start.registry, &name, &left, &counted, &lines))?;
+    spawn("signals", move || signals(caught, &host, &counted, &lines))?;
+    let (host, counted, lines, at) = (mail.clone(), counters.clone(), log.clone(), start.peers.runtime);
+    spawn("runtime", move || runtime::link(at, &moved, &host, &counted, &lines))?;
+    let (counted, lines, name, at) =
+        (counters.clone(), log.clone(), start.name.clone(), start.peers.registry);
+    spawn("registry", move || registry::report(at, &name, &for_list, &counted, &lines))?;
     let listening = edge.clone();
     spawn("listener", move || listening.accept(&listener))?;
-    let records = Records::new(start.records, mail, counters.clone());
-    let around = Around { records, edge, leaving, counters, log: log.clone() };
+    let records = Records::new(start.peers.records, mail, counters.clone());
+    let around = Around { records, edge, list, moves, counters, log: log.clone() };
     let mut host = Host::new(&start, around);
     slog::info!(log.lines, "host: serving"; "at" => %start.listen);
     host.serve(&mailbox);
--- a/crates/asterdale-daemon/src/records.rs
+++ b/crates/asterdale-daemon/src/records.rs
@@ -1,5 +1,5 @@
-//! The records service's actors: each has a connection and makes one call at a time. One that is idle takes
-//! the next call; where none is, one more begins.
+//! The records service's actors: each makes one call at a time, on a connection of its own. One that is idle
+//! takes the next call; where none is, one more begins.
 
 use std::io::{self, IoSlice};
 use std::net::{SocketAddr, TcpStream};
@@ -18,7 +18,7 @@
 use crate::http::{self, Reply};
 use crate::runtime;
 
-/// The service closes connections that stand idle for 10 s: ours are closed well before.
+/// An actor that has had no call for so long ends.
 const IDLE: Duration = Duration::from_secs(5);
 /// No call waits longer, whatever patience is given.
 const LONGEST: Duration = Duration::from_secs(60);
@@ -40,8 +40,8 @@
 /// The way to the records service.
 pub struct Records {
     at: SocketAddr,
-    calls: Sender<Call>,
-    waiting: Receiver<Call>,
+    calls: Sender<(SocketAddr, Call)>,
+    waiting: Receiver<(SocketAddr, Call)>,
     host: Sender<Mail>,
     counters: Arc<Counters>,
 }
@@ -54,24 +54,29 @@
         Records { at, calls, waiting, host, counters }
     }
 
+    /// The service listens here from now on. Calls that are out end where they are.
+    pub fn go_to(&mut self, at: SocketAddr) {
+        self.at = at;
+    }
+
     /// Makes a call; its end comes as mail. `false` if none could be begun.
     pub fn call(&self, mut call: Call) -> bool {
         call.patience = call.patience.min(LONGEST);
         self.counters.calls_sent.add();
-        let call = match self.calls.try_send(call) {
+        let call = match self.calls.try_send((self.at, call)) {
             Ok(()) => return true,
             Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) => call,
         };
-        let (at, waiting, host) = (self.at, self.waiting.clone(), self.host.clone());
+        let (waiting, host) = (self.waiting.clone(), self.host.clone());
         let actor = thread::Builder::new().name("call".to_owned()).stack_size(64 * 1024);
-        actor.spawn(move || serve(at, call, &waiting, &host)).is_ok()
+        actor.spawn(move || serve(call, &waiting, &host)).is_ok()
     }
 }
 
-fn serve(at: SocketAddr, first: Call, waiting: &Receiver<Call>, host: &Sender<Mail>) {
-    let (mut kept, mut next) = (None, Some(first));
-    while let Some(call) = next {
-        let (outcome, body) = make(at, &call, &mut kept);
+fn serve(first: (SocketAddr, Call), waiting: &Receiver<(SocketAddr, Call)>, host: &Sender<Mail>) {
+    let mut next = Some(first);
+    while let Some((at, call)) = next {
+        let (outcome, body) = make(at, &call);
         let took_ms = call.asked.elapsed().as_secs_f64() * 1000.0;
         if host.send(Mail::Called { who: call.who, outcome, took_ms, body }).is_err() {
             return;
@@ -80,16 +85,15 @@
     }
 }
 
-/// Makes a call on the kept connection, or on a new one; keeps it if it can carry another.
-fn make(at: SocketAddr, call: &Call, kept: &mut Option<TcpStream>) -> (Outcome, Vec<u8>) {
+/// Makes a call, on a connection of its own. On one that is kept, what comes late (a second copy, noise) could
+/// be read as the reply to the next call; and one that the service has forgotten breaks at its next call just
+/// as one whose call has run.
+fn make(at: SocketAddr, call: &Call) -> (Outcome, Vec<u8>) {
     let end = call.asked + call.patience;
     let left = || end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    let stream = match kept.take().filter(still_open) {
-        Some(stream) => stream,
-        None => match TcpStream::connect_timeout(&at, left()) {
-            Ok(stream) => stream,
-            Err(e) => return (broken(&e), Vec::new()),
-        },
+    let stream = match TcpStream::connect_timeout(&at, left()) {
+        Ok(stream) => stream,
+        Err(e) => return (broken(&e), Vec::new()),
     };
     let head = format!(
         "POST /records/op HTTP/1.1\r\nHost: {at}\r\nOp-Of: {}\r\nOp-Wait-Ms: {}\r\nContent-Length: {}\r\n\r\n",
@@ -103,28 +107,12 @@
         .and_then(|()| gather::write(&stream, &mut [IoSlice::new(head.as_bytes()), IoSlice::new(&call.body)]))
         .and_then(|()| http::reply(&stream, end));
     match reply {
-        Ok(reply) => {
-            if reply.keep {
-                *kept = Some(stream);
-            }
-            (outcome(&reply), reply.body)
-        }
+        Ok(reply) => (outcome(&reply), reply.body),
         // Dropping the connection gives the call up.
         Err(e) => (broken_off(&e), Vec::new()),
     }
 }
 
-/// Whether nothing has come, and no end, since the last reply.
-fn still_open(stream: &TcpStream) -> bool {
-    let quiet = |stream: &TcpStream| {
-        stream.set_nonblocking(true)?;
-        let seen = stream.peek(&mut [0]);
-        stream.set_nonblocking(false)?;
-        Ok::<bool, io::Error>(matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock))
-    };
-    quiet(stream).unwrap_or(false)
-}
-
 /// What a reply proves.
 fn outcome(reply: &Reply) -> Outcome {
     match (reply.status, reply.not_begun) {
@@ -158,7 +146,7 @@
 
     #[test]
     fn only_what_the_service_says_never_began_never_ran() {
-        let reply = |status, not_begun| Reply { status, not_begun, keep: true, body: Vec::new() };
+        let reply = |status, not_begun| Reply { status, not_begun, body: Vec::new() };
         for (status, not_begun, wanted) in [
             (200, false, Outcome::Ok),
             (503, true, Outcome::Full),
--- a/crates/asterdale-daemon/src/registry.rs
+++ b/crates/asterdale-daemon/src/registry.rs
@@ -10,7 +10,7 @@
 use crate::counters::Counters;
 use crate::gather;
 use crate::http;
-use crate::log::Log;
+use crate::log::{Kind, Log};
 
 /// The list forgets a backend 3 s after its last report: one of three may be lost.
 const EVERY: Duration = Duration::from_millis(900);
@@ -18,8 +18,18 @@
 const AGAIN: Duration = Duration::from_millis(200);
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// Reports until the mailbox closes; a message says that the backend is leaving from now on.
-pub fn report(at: SocketAddr, name: &str, leaving: &Receiver<()>, counters: &Arc<Counters>, log: &Log) {
+/// What the list's actor is told.
+pub enum Word {
+    /// The backend is leaving from now on.
+    Leave,
+    /// The registry listens here from now on.
+    Move(SocketAddr),
+}
+
+/// Reports until the mailbox closes.
+pub fn report(mut at: SocketAddr, name: &str, mailbox: &Receiver<Word>, counters: &Arc<Counters>, log: &Log) {
+    static FAILED: Kind = Kind::new();
+    static AGAIN_WELL: Kind = Kind::new();
     let mut state = "ready";
     let mut well = true;
     loop {
@@ -32,7 +42,7 @@
         let wait = match call(at, head.as_bytes(), body.as_bytes()) {
             Ok(()) => {
                 counters.reports.add();
-                if !well {
+                if !well && log.may(&AGAIN_WELL) {
                     slog::info!(log.lines, "registry: reports count again");
                 }
                 well = true;
@@ -40,15 +50,17 @@
             }
             Err(e) => {
                 counters.reports_failed.add();
-                if well {
+                if well && log.may(&FAILED) {
                     slog::warn!(log.lines, "registry: a report failed"; "why" => %e);
                 }
                 well = false;
                 AGAIN
             }
         };
-        match leaving.recv_timeout(wait) {
-            Ok(()) => state = "draining",
+        // Whatever is told is reported at once.
+        match mailbox.recv_timeout(wait) {
+            Ok(Word::Leave) => state = "draining",
+            Ok(Word::Move(to)) => at = to,
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
--- a/crates/asterdale-daemon/src/runtime.rs
+++ b/crates/asterdale-daemon/src/runtime.rs
@@ -169,12 +169,19 @@
     std::str::from_utf8(id).unwrap_or_default()
 }
 
-/// Keeps the link for as long as the host is there.
-pub fn link(at: SocketAddr, host: &Sender<Mail>, counters: &Arc<Counters>, log: &Log) {
+/// Keeps the link for as long as the host is there, to the address that it was last told.
+pub fn link(
+    mut at: SocketAddr,
+    moves: &Receiver<SocketAddr>,
+    host: &Sender<Mail>,
+    counters: &Arc<Counters>,
+    log: &Log,
+) {
     static LINKED: Kind = Kind::new();
     static BROKEN: Kind = Kind::new();
     let mut told = false;
     loop {
+        at = moves.try_iter().last().unwrap_or(at);
         let why = match TcpStream::connect_timeout(&at, PATIENCE) {
             Ok(stream) => {
                 counters.links.add();
@@ -193,7 +200,10 @@
             slog::warn!(log.lines, "runtime: no link"; "why" => %why);
             told = true;
         }
-        thread::sleep(AGAIN);
+        // A word that comes meanwhile is a new address, which is tried at once.
+        if let Ok(to) = moves.recv_timeout(AGAIN) {
+            at = to;
+        }
     }
 }
 
--- a/crates/asterdale-daemon/src/start.rs
+++ b/crates/asterdale-daemon/src/start.rs
@@ -6,6 +6,17 @@
 use asterdale_facts::Facts;
 use serde_json::Value;
 
+/// Where the peers listen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// The runtime.
+    pub runtime: SocketAddr,
+    /// The registry.
+    pub registry: SocketAddr,
+    /// The records service.
+    pub records: SocketAddr,
+}
+
 /// Everything from the file.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -13,12 +24,8 @@
     pub name: String,
     /// Where edge nodes connect.
     pub listen: SocketAddr,
-    /// Where the runtime listens.
-    pub runtime: SocketAddr,
-    /// Where the registry listens.
-    pub registry: SocketAddr,
-    /// Where the records service listens.
-    pub records: SocketAddr,
+    /// Where the peers listen: all of the file that can change while the program runs.
+    pub peers: Peers,
     /// From the notice to leave until the process is killed, in milliseconds.
     pub stop_ms: f64,
     /// Memory of this process, in bytes.
@@ -69,9 +76,11 @@
             Some(text) => parse("ROUTER_LISTEN", &text)?,
             None => address("listen")?,
         },
-        runtime: address("runtime")?,
-        registry: address("registry")?,
-        records: address("records")?,
+        peers: Peers {
+            runtime: address("runtime")?,
+            registry: address("registry")?,
+            records: address("records")?,
+        },
         stop_ms: positive("stop_ms", &all["stop_ms"])?,
         memory: (positive("limits.memory_mb", &all["limits"]["memory_mb"])? * 1e6) as usize,
         descriptors: positive("limits.sockets", &all["limits"]["sockets"])? as usize,
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -56,7 +56,6 @@
 }
 
 /// The link to the runtime, as the host sees it.
-#[derive(Default)]
 pub struct Link {
     pub commands: Option<Sender<String>>,
     /// The replay after a break is not through: nothing is sent yet.
@@ -69,10 +68,20 @@
     pub asked: u64,
     pub came: u64,
     pub asked_at: f64,
+    /// The link moves to another address by then; never, mostly.
+    pub move_by: f64,
     /// Beats for which gauges are owed.
     pub silent: u32,
 }
 
+impl Default for Link {
+    fn default() -> Link {
+        let (commands, replaying, ready, asked_at, silent) = (None, false, false, 0.0, 0);
+        let (last, asked, came, move_by) = (0, 0, 0, f64::INFINITY);
+        Link { commands, replaying, ready, last, asked, came, asked_at, move_by, silent }
+    }
+}
+
 /// Everything but the decisions: what the module's answers act on.
 pub struct Tasks {
     pub facts: Arc<Facts>,
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -111,6 +111,40 @@
     assert_eq!(edge.status(1), "200");
 }
 
+#[test]
+fn no_connection_carries_a_second_call_which_could_get_the_rest_of_the_first_reply() {
+    let (backend, _edge) = running("bid");
+    let mut from = Vec::new();
+    for _ in 0..2 {
+        backend.runtime.wants(A, b"need");
+        let call = backend.records.call();
+        from.push(call.from());
+        call.reply("200 OK", b"one");
+        assert_eq!(backend.runtime.command("give")["b64"], "b25l");
+    }
+    assert_ne!(from[0], from[1]);
+}
+
+#[test]
+fn a_start_file_that_is_read_again_moves_all_peers_and_loses_no_command() {
+    let (mut backend, mut edge) = running("bid");
+    let (before, ..) = backend.moved();
+    backend.counters_until(|count| count("links") == 2 && count("reloads") == 1);
+    backend.runtime.wants(A, b"need");
+    backend.records.call().reply("200 OK", b"one");
+    // Had the start gone out again it would have come first.
+    assert_eq!(backend.runtime.command("give")["rid"], A);
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.answer().unwrap().body, b"sold");
+    backend.reports.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(before.commanded(), None);
+    // One that makes no sense changes nothing.
+    backend.reload("{\"runtime\": 5}");
+    backend.counters_until(|count| count("reloads_failed") == 1);
+    edge.task(2, "page", B, &[]);
+    assert_eq!(backend.runtime.command("start")["rid"], B);
+}
+
 #[test]
 fn a_call_that_may_have_run_is_not_made_again() {
     for bad in ["500 Error", "504 Late", "503 Busy", "nonsense", ""] {
--- a/crates/asterdale-daemon/tests/stand_ins/mod.rs
+++ b/crates/asterdale-daemon/tests/stand_ins/mod.rs
@@ -73,6 +73,7 @@
     pub reports: Receiver<String>,
     log: Arc<Mutex<String>>,
     file: PathBuf,
+    config: Value,
 }
 
 /// Starts the program with this start file.
@@ -116,7 +117,7 @@
                 log.push('\n');
             }
         });
-        Backend { child, listen, runtime, records, reports, log, file }
+        Backend { child, listen, runtime, records, reports, log, file, config }
     }
 
     /// A connection as an edge node opens it.
@@ -136,6 +137,31 @@
         self.log.lock().unwrap().clone()
     }
 
+    /// Puts this text in the place of the start file, and has it read.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Moves all that the backend talks to to new addresses, where the runtime's notices go on; what was there
+    /// before comes back.
+    pub fn moved(&mut self) -> (Runtime, Records, Receiver<String>) {
+        let (runtime, records, (reports, registry)) = (Runtime::new(), Records::new(), registry());
+        for (field, at) in [("runtime", runtime.at), ("records", records.at), ("registry", registry)] {
+            self.config[field] = json!(at);
+        }
+        {
+            let mut shared = runtime.shared.lock().unwrap();
+            (shared.up, shared.notices) = (true, self.runtime.shared.lock().unwrap().notices.clone());
+        }
+        self.reload(&self.config.to_string());
+        (
+            std::mem::replace(&mut self.runtime, runtime),
+            std::mem::replace(&mut self.records, records),
+            std::mem::replace(&mut self.reports, reports),
+        )
+    }
+
     pub fn signal(&self, name: &str) {
         let kill = format!("kill {name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
@@ -257,6 +283,11 @@
 }
 
 impl Call {
+    /// The other end of its connection.
+    pub fn from(&self) -> SocketAddr {
+        self.stream.peer_addr().unwrap()
+    }
+
     /// Replies, and keeps the connection for the next call.
     pub fn reply(mut self, status: &str, body: &[u8]) {
         let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
