Bad clients: silent ones end in 2 s, the door stays open, other bodies under a key are refused

At fault: edge.rs had no time from accepting to the first whole request and only paused at its bound; requests.rs read a body that is too long to its end; fingerprints.rs knew a repeat by its key alone; host.rs took any old stamp for time unread.

Changed: 2 s to the first sensible request; at the bound a connection with nothing open gives way, those that never asked first; a body over 2 KiB is answered at once and its connection ends; a keyed hash tells bodies apart; time unread is bounded by when the connection was last empty; requests are found by connection and number without a walk.

--- a/crates/asterdale-daemon/src/counters.rs
+++ b/crates/asterdale-daemon/src/counters.rs
@@ -99,6 +99,10 @@
     connections_open,
     /// Closed as they carried nothing.
     connections_idle,
+    /// Ended as they brought no whole request that made sense.
+    connections_silent,
+    /// Given up, with nothing open on them, for others.
+    connections_given_up,
     /// Ended by bytes that can't be read.
     connections_malformed,
     /// Ended as requests that had begun took too much memory.
--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -28,6 +28,14 @@
 /// Answers that one gathered write takes at most.
 const GATHERED: usize = 64;
 
+/// A connection that brings no whole request for so long, in milliseconds, ends: bad clients are owed a word
+/// within 3 s of connecting. Edge nodes connect when they have a request.
+const FIRST: u64 = 2000;
+/// The first request of a connection that is younger, in milliseconds, is taken to be under way.
+const COMING: u64 = 200;
+/// Connections short of the most at which others are given up for them.
+const AHEAD: usize = 8;
+
 /// The way back to an edge node, for one connection.
 pub struct Peer {
     /// A number that no other connection of this process has.
@@ -35,8 +43,19 @@
     answers: Sender<Answer>,
     /// Requests that went to the host and whose answer the writer does not have.
     open: AtomicUsize,
-    /// When the writer last wrote, in milliseconds since the edge began.
+    /// When the reader last read and the writer last wrote, in milliseconds since the edge began.
+    read: AtomicU64,
     wrote: AtomicU64,
+    /// It has brought a whole request that made sense.
+    asked: AtomicBool,
+}
+
+/// A connection, as long as it is open.
+struct Open {
+    stream: Weak<TcpStream>,
+    peer: Weak<Peer>,
+    /// It was given up for others, and ends.
+    given_up: bool,
 }
 
 impl Peer {
@@ -67,7 +86,7 @@
     /// Connections that carried nothing for so many milliseconds are closed; 0 for never.
     idle_ms: AtomicU64,
     closing: AtomicBool,
-    connections: Mutex<HashMap<u64, Weak<TcpStream>>>,
+    connections: Mutex<HashMap<u64, Open>>,
     began: Instant,
 }
 
@@ -102,6 +121,8 @@
     Idle,
     /// What it says can't be read; what is open is still answered.
     Malformed(Malformed),
+    /// It brought no whole request that made sense, in all the time that it is given.
+    Silent,
     /// Half a request stood still for longer than any caller waits; what is open is still answered.
     Stalled,
     /// It began more than there is memory for; what is open is still answered.
@@ -122,14 +143,14 @@
             log,
             // Edge nodes open half of the descriptors at most. Of the rest some are for checks, 64 (fewer where
             // there are few) for calls, the runtime and the registry. A connection takes up to 64 KiB by
-            // itself, stacks in the kernel included: a third of the memory.
+            // itself, stacks in the kernel included: half of the memory.
             most_connections: (start.descriptors * 3 / 4)
                 .min(start.descriptors.saturating_sub(64))
                 .max(start.descriptors / 2)
-                .min(start.memory / 3 / 65_536)
+                .min(start.memory / 2 / 65_536)
                 .max(1),
             unread: AtomicUsize::new(0),
-            most_unread: start.memory / 4,
+            most_unread: start.memory / 8,
             longest: Duration::from_millis(longest as u64),
             idle_ms: AtomicU64::new(facts.told.idle_ms as u64),
             facts,
@@ -164,12 +185,35 @@
     /// Lets every connection end once all that has come over it is answered.
     pub fn hush(&self) {
         if let Ok(all) = self.connections.lock() {
-            for stream in all.values().filter_map(Weak::upgrade) {
+            for stream in all.values().filter_map(|open| open.stream.upgrade()) {
                 let _ = stream.shutdown(Shutdown::Read);
             }
         }
     }
 
+    /// Gives up the connection that serves least, so that the door stays open: first of all one that has never
+    /// brought a request, else one with nothing open, the longest quiet of them. What crosses the close comes
+    /// again on another. `false` if there is none.
+    fn make_room(&self) -> bool {
+        let now = self.clock();
+        let Ok(mut all) = self.connections.lock() else { return false };
+        let rank = |open: &Open| {
+            let peer = open.peer.upgrade().filter(|peer| peer.open.load(Ordering::Acquire) == 0)?;
+            let last = peer.read.load(Ordering::Relaxed).max(peer.wrote.load(Ordering::Relaxed));
+            // The first request of a connection that has just come may be under way.
+            let young = now < last + COMING;
+            let asked = peer.asked.load(Ordering::Relaxed);
+            Some((if asked { 1 } else { 2 * u8::from(young) }, last))
+        };
+        let ranked =
+            all.values_mut().filter(|open| !open.given_up).filter_map(|open| Some((rank(open)?, open)));
+        let Some((_, open)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        open.given_up = true;
+        let Some(stream) = open.stream.upgrade() else { return false };
+        self.counters.connections_given_up.add();
+        stream.shutdown(Shutdown::Read).is_ok()
+    }
+
     /// Accepts connections until the edge closes.
     pub fn accept(self: &Arc<Edge>, listener: &TcpListener) {
         static FAULT: Kind = Kind::new();
@@ -179,17 +223,20 @@
             if closing && listener.set_nonblocking(true).is_err() {
                 return;
             }
-            // Descriptors are left for the runtime, the records and the registry.
-            if !closing && self.open() >= self.most_connections {
+            // Descriptors are left for the runtime, the records and the registry. Some room is made ahead.
+            let open = self.open();
+            let made = !closing && open + AHEAD >= self.most_connections && self.make_room();
+            if !closing && open >= self.most_connections {
                 self.counters.accept_pauses.add();
-                thread::sleep(Duration::from_millis(10));
+                thread::sleep(Duration::from_millis(if made { 1 } else { 10 }));
                 continue;
             }
+            let waits = Instant::now();
             match listener.accept() {
                 Ok((stream, _)) => {
                     next += 1;
                     self.counters.connections_accepted.add();
-                    if let Err(e) = self.begin(next, stream) {
+                    if let Err(e) = self.begin(next, stream, waits) {
                         if self.log.may(&FAULT) {
                             slog::error!(self.log.lines, "edge: a connection can't be served"; "why" => %e);
                         }
@@ -209,26 +256,34 @@
     }
 
     /// Starts the two threads of a connection.
-    fn begin(self: &Arc<Edge>, connection: u64, stream: TcpStream) -> io::Result<()> {
+    fn begin(self: &Arc<Edge>, connection: u64, stream: TcpStream, waits: Instant) -> io::Result<()> {
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(self.longest))?;
         let stream = Arc::new(stream);
         let (answers, for_writer) = bounded(MOST_OPEN);
         let (control, control_for_writer) = bounded(4);
-        let peer = Arc::new(Peer { connection, answers, open: AtomicUsize::new(0), wrote: 0.into() });
+        let peer = Arc::new(Peer {
+            connection,
+            answers,
+            open: AtomicUsize::new(0),
+            read: self.clock().into(),
+            wrote: 0.into(),
+            asked: false.into(),
+        });
         let (edge, weak, out) = (self.clone(), Arc::downgrade(&peer), stream.clone());
         let spawn = |name: &str| thread::Builder::new().name(name.to_owned()).stack_size(STACK);
         let writer = spawn("writer")
             .spawn(move || edge.write(connection, &out, &weak, &for_writer, control_for_writer))?;
         let edge = self.clone();
         if let Ok(mut all) = self.connections.lock() {
-            all.insert(connection, Arc::downgrade(&stream));
+            let (stream, peer) = (Arc::downgrade(&stream), Arc::downgrade(&peer));
+            all.insert(connection, Open { stream, peer, given_up: false });
         }
         self.counters.connections_open.add();
         let reader = spawn("reader").spawn(move || {
             let mut unread = Unread { edge: &edge, bytes: 0 };
-            let end = edge.read(&stream, &peer, &control, &mut unread);
+            let end = edge.read(&stream, &peer, &control, &mut unread, waits);
             drop((peer, control, unread));
             edge.end(connection, &stream, writer, end);
         });
@@ -251,6 +306,7 @@
                     slog::warn!(self.log.lines, "edge: a connection ends, malformed"; "what" => %what);
                 }
             }
+            End::Silent => self.counters.connections_silent.add(),
             End::Stalled => {
                 self.counters.connections_malformed.add();
                 if self.log.may(&MALFORMED) {
@@ -347,9 +403,10 @@
         peer: &Arc<Peer>,
         control: &Sender<Answer>,
         unread: &mut Unread<'_>,
+        mut since: Instant,
     ) -> End {
         let (mut incoming, mut requests) = (Incoming::default(), Requests::default());
-        let (mut last, mut waits) = (self.clock(), None);
+        let (born, mut last, mut waits, mut first) = (self.clock(), self.clock(), None, true);
         loop {
             loop {
                 let open = peer.open.load(Ordering::Acquire) + requests.begun();
@@ -362,7 +419,7 @@
                     Ok(Step::Nothing) => continue,
                     Ok(Step::Whole(id, whole)) => {
                         let keep = whole.keep;
-                        if let Err(what) = self.whole(peer, control, id, whole) {
+                        if let Err(what) = self.whole(peer, control, id, whole, since) {
                             return End::Malformed(what);
                         }
                         if !keep {
@@ -380,6 +437,10 @@
                         }
                         refusal(id, state)
                     }
+                    Ok(Step::TooLong(id)) => {
+                        let _ = control.send(self.makes_no_sense(id, "body"));
+                        return End::Quiet;
+                    }
                     Ok(Step::Values(asked)) => values_result(&asked, self.most_connections, MOST_OPEN),
                     Ok(Step::Unknown(kind)) => unknown_type(kind),
                     Err(what) => return End::Malformed(what),
@@ -401,23 +462,37 @@
             };
             // In this order: the writer says when it writes before it counts.
             let busy = peer.open.load(Ordering::Acquire) > 0;
-            let since = last.max(peer.wrote.load(Ordering::Relaxed));
-            let quiet = self.clock().saturating_sub(since);
+            let latest = last.max(peer.wrote.load(Ordering::Relaxed));
+            let quiet = self.clock().saturating_sub(latest);
             if quiet >= limit && !busy {
                 return if half { End::Stalled } else { End::Idle };
             }
-            let wait = Some(Duration::from_millis(if busy { limit } else { limit - quiet }));
+            let mut wait = if busy { limit } else { limit - quiet };
+            if !peer.asked.load(Ordering::Relaxed) {
+                let age = self.clock() - born;
+                if age >= FIRST {
+                    return End::Silent;
+                }
+                wait = wait.min(FIRST - age);
+            }
+            let wait = Some(Duration::from_millis(wait));
             if wait != waits {
                 waits = wait;
                 if stream.set_read_timeout(wait).is_err() {
                     return End::Broken;
                 }
             }
+            // All that came before was read: a request that comes now came no earlier.
+            let now = Instant::now();
             match stream.read(incoming.room()) {
                 Ok(0) => return End::Quiet,
                 Ok(count) => {
                     incoming.filled(count);
                     last = self.clock();
+                    peer.read.store(last, Ordering::Relaxed);
+                    if !half && !std::mem::take(&mut first) {
+                        since = now;
+                    }
                 }
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
                 Err(_) => return End::Broken,
@@ -432,30 +507,37 @@
         control: &Sender<Answer>,
         id: u16,
         whole: Whole,
+        since: Instant,
     ) -> Result<(), Malformed> {
-        static SENSELESS: Kind = Kind::new();
         let mail = match head::read(&whole.params, &self.facts)? {
             Head::Check { deep } => Mail::Check { peer: peer.clone(), request: id, deep },
-            Head::Task(asked) if whole.body.len() <= 2048 => {
+            Head::Task(asked) => {
                 let (peer, body) = (peer.clone(), whole.body);
-                Mail::Task(Box::new(Request { asked, body, peer, request: id }))
+                Mail::Task(Box::new(Request { asked, body, peer, request: id, since }))
             }
-            other => {
-                let field = if let Head::Senseless(field) = other { field } else { "body" };
-                self.counters.tasks_senseless.add();
-                if self.log.may(&SENSELESS) {
-                    slog::warn!(self.log.lines, "edge: a request makes no sense"; "field" => field);
-                }
-                let _ = control.send(senseless(id));
+            Head::Senseless(field) => {
+                let _ = control.send(self.makes_no_sense(id, field));
                 return Ok(());
             }
         };
+        peer.asked.store(true, Ordering::Relaxed);
         peer.open.fetch_add(1, Ordering::Relaxed);
         let _ = self.host.send(mail);
         Ok(())
     }
 }
 
+impl Edge {
+    fn makes_no_sense(&self, request: u16, field: &'static str) -> Answer {
+        static SENSELESS: Kind = Kind::new();
+        self.counters.tasks_senseless.add();
+        if self.log.may(&SENSELESS) {
+            slog::warn!(self.log.lines, "edge: a request makes no sense"; "field" => field);
+        }
+        senseless(request)
+    }
+}
+
 /// The answer to a request that lacks a field, or has a senseless one. It claims nothing.
 pub fn senseless(request: u16) -> Answer {
     Answer::new(request, "Status: 400\r\nContent-Type: text/plain\r\n\r\n", Arc::new([]))
@@ -471,4 +553,6 @@
     pub peer: Arc<Peer>,
     /// Its number on that connection.
     pub request: u16,
+    /// It came no earlier: all that came before then was read.
+    pub since: Instant,
 }
--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -169,6 +169,7 @@
                 slots: Vec::new(),
                 by_id: HashMap::new(),
                 by_serial: HashMap::new(),
+                by_way: HashMap::new(),
                 serial: 0,
                 arriving: None,
                 fingerprints: Fingerprints::new(start.memory, longest),
@@ -272,10 +273,8 @@
         match mail {
             Mail::Task(request) => self.take(*request),
             Mail::Check { peer, request, deep } => self.check(peer, request, deep),
-            Mail::Abort(connection, request) => {
-                self.leave_tasks(|peer, number| peer.connection == connection && number == request);
-            }
-            Mail::Gone(connection) => self.leave_tasks(|peer, _| peer.connection == connection),
+            Mail::Abort(connection, request) => self.leave_task((connection, request)),
+            Mail::Gone(connection) => self.gone(connection),
             Mail::Linked(commands) => self.linked(commands),
             Mail::Unlinked => {
                 self.tasks.link.commands = None;
@@ -339,11 +338,10 @@
     }
 
     fn take(&mut self, request: Request) {
-        let Request { asked, body, peer, request } = request;
+        let Request { asked, body, peer, request, since } = request;
         let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark } = asked;
         let tasks = &mut self.tasks;
-        let same = |slot: &Slot| slot.back.as_ref().is_some_and(|back| meant(back, &peer, request));
-        if tasks.slots.iter().flatten().any(same) {
+        if tasks.by_way.contains_key(&(peer.connection, request)) {
             // Two answers under one number could not be told apart: the first request keeps it.
             tasks.counters.requests_twice.add();
             return peer.drop_one();
@@ -354,6 +352,12 @@
         }
         // Stamps are by the Unix clock, as is this difference alone.
         let since_ms = (unix_ms() - start_ms).max(0.0);
+        let sign = tasks.fingerprints.sign(&body);
+        if mark.as_ref().is_some_and(|mark| tasks.fingerprints.differs(mark, sign)) {
+            // Another task under a known key: its result is not this one's.
+            tasks.counters.tasks_senseless.add();
+            return peer.answer(senseless(request));
+        }
         let repeat = mark.as_ref().is_some_and(|mark| tasks.fingerprints.knows(mark, tasks.now - since_ms));
         let marked = tasks.facts.told.stages[stage].repeat == Repeat::Fingerprinted;
         if marked && !repeat && tasks.fingerprints.is_full() {
@@ -363,9 +367,8 @@
         }
         tasks.counters.tasks_taken.add();
         tasks.counters.tasks_open.add();
-        // None lies unread for longer than any client waits: a stamp that says so is wrong, and would be
-        // taken for a backlog.
-        let unread_ms = since_ms.min(tasks.facts.told.stages[stage].limit_ms);
+        // A stamp from before all else on its connection was read is wrong, and would be taken for a backlog.
+        let unread_ms = since_ms.min(since.elapsed().as_secs_f64() * 1000.0);
         let next = self.callers.len();
         let caller = match self.callers.get(&caller) {
             Some(&known) => known,
@@ -384,27 +387,30 @@
         };
         tasks.serial += 1;
         let (serial, back) = (tasks.serial, Some((peer, request)));
-        tasks.arriving = Some(Slot { serial, id, stage, body, back, mark, wants: None, sent: None });
+        tasks.arriving = Some(Slot { serial, id, stage, body, sign, back, mark, wants: None, sent: None });
         self.begin(false, 0.0);
         if let Some(server) = &mut self.server {
             server.take(self.tasks.now, arrival, &mut self.tasks);
         }
     }
 
-    /// Nobody waits any more for those of the open tasks that are meant.
-    fn leave_tasks(&mut self, meant: impl Fn(&Peer, u16) -> bool) {
+    /// Nobody waits any more for this request.
+    fn leave_task(&mut self, way: (u64, u16)) {
         let (Some(server), tasks) = (&mut self.server, &mut self.tasks) else { return };
-        for index in 0..tasks.slots.len() {
-            let Some(slot) = &mut tasks.slots[index] else { continue };
-            let left = slot.back.take_if(|(peer, request)| meant(peer, *request));
-            let Some((peer, request)) = left else { continue };
-            tasks.counters.tasks_left.add();
-            tasks.counters.tasks_open.sub();
-            // It is owed nothing; this frees its number on the connection.
-            peer.answer(Answer::new(request, "Status: 499\r\n\r\n", Arc::new([])));
-            if let Some(task) = tasks.by_id.get(&slot.id).copied() {
-                task.caller_left(server, tasks.now, tasks);
-            }
+        let Some(task) = tasks.by_way.remove(&way) else { return };
+        let Some((peer, request)) = tasks.slot(task).and_then(|slot| slot.back.take()) else { return };
+        tasks.counters.tasks_left.add();
+        tasks.counters.tasks_open.sub();
+        // It is owed nothing; this frees its number on the connection.
+        peer.answer(Answer::new(request, "Status: 499\r\n\r\n", Arc::new([])));
+        task.caller_left(server, tasks.now, tasks);
+    }
+
+    /// A connection broke: nobody waits for what is open on it.
+    fn gone(&mut self, connection: u64) {
+        let all = self.tasks.by_way.keys().filter(|way| way.0 == connection);
+        for way in all.copied().collect::<Vec<_>>() {
+            self.leave_task(way);
         }
     }
 
@@ -660,11 +666,6 @@
     }
 }
 
-/// Whether this is the way back for this request of this connection.
-fn meant(back: &(Arc<Peer>, u16), peer: &Peer, request: u16) -> bool {
-    back.0.connection == peer.connection && back.1 == request
-}
-
 fn checked(peer: &Peer, request: u16, good: bool) {
     let head = if good { "Status: 200\r\n\r\n" } else { "Status: 503\r\n\r\n" };
     peer.answer(Answer::new(request, head, Arc::new([])));
--- a/crates/asterdale-daemon/src/tasks.rs
+++ b/crates/asterdale-daemon/src/tasks.rs
@@ -47,6 +47,8 @@
     pub id: Id,
     pub stage: usize,
     pub body: Vec<u8>,
+    /// What tells its body from others.
+    pub sign: u64,
     /// The way back, until it is answered.
     pub back: Option<(Arc<Peer>, u16)>,
     pub mark: Option<Mark>,
@@ -91,6 +93,8 @@
     /// Handles of the tasks that are not over, by their id and by their serial.
     pub by_id: HashMap<Id, Handle>,
     pub by_serial: HashMap<Serial, Handle>,
+    /// And by the connection and number of the request, while it is not answered.
+    pub by_way: HashMap<(u64, u16), Handle>,
     pub serial: Serial,
     /// The task that is being taken, until it has a seat.
     pub arriving: Option<Slot>,
@@ -158,6 +162,7 @@
     /// The one place where a task that is still waited for is answered. `false` if it is not.
     pub fn answer(&mut self, task: Handle, head: &str, body: Arc<[u8]>) -> bool {
         let Some((peer, request)) = self.slot(task).and_then(|slot| slot.back.take()) else { return false };
+        self.by_way.remove(&(peer.connection, request));
         self.counters.tasks_open.sub();
         peer.answer(Answer::new(request, head, body));
         true
@@ -196,6 +201,9 @@
         if let Some(slot) = self.arriving.take() {
             self.by_id.insert(slot.id, task);
             self.by_serial.insert(slot.serial, task);
+            if let Some((peer, request)) = &slot.back {
+                self.by_way.insert((peer.connection, *request), task);
+            }
             self.slots[task.index()] = Some(slot);
         }
     }
@@ -258,11 +266,11 @@
         let Some(slot) = self.slot(task) else { return };
         let Some(mark) = slot.mark.clone() else { return };
         let restartable = facts.told.stages[slot.stage].repeat == Repeat::Restartable;
-        let serial = slot.serial;
+        let (serial, sign) = (slot.serial, slot.sign);
         if restartable && self.fingerprints.is_full() {
             return; // a repeat of it runs by itself
         }
-        let before = self.fingerprints.remember(mark, serial, until, restartable.then_some(for_ms));
+        let before = self.fingerprints.remember(mark, (serial, sign), until, restartable.then_some(for_ms));
         self.tell(before, None);
     }
     fn forget(&mut self, task: Handle) {
