Cores wanted twice over are full at once; spoilt replies cut no window of calls

In the first 10 s 12 to 25 of 100 answers were late: 25 to 45 runs wanted 12 cores while the cpu gauge, an average over half a second, still showed room. Excluded: reports to the registry, links made again (20 ms each), CPU.

Changed: only calls that are turned away or out of time, or most calls failing, cut the window of a shared layer; a call without a reply counts as three times the usual at most. Cores are full too when the gauge of what wants them shows the doubling that the buffer allows. Gauges go by their age (500 ms) and not by the link; a link that had lasted is made again at once.

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -42,6 +42,8 @@
 /// What is kept for nobody is looked for this often.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Gauges older than this count as none. They are averages over half a second and come at every beat.
+const STALE_MS: f64 = 500.0;
 /// Before the link moves to another address, so long is waited for the proof that all commands arrived.
 const MOVING_MS: f64 = 300.0;
 
@@ -138,6 +140,8 @@
     tasks: Tasks,
     clock: Clock,
     gauges: Gauges,
+    /// When they came.
+    read_at: f64,
     /// Small indices of the callers, by their number.
     callers: HashMap<u32, usize>,
     /// Deep checks that wait for the runtime, by their number.
@@ -187,6 +191,7 @@
             },
             clock,
             gauges: Gauges::default(),
+            read_at: 0.0,
             callers: HashMap::new(),
             checks: HashMap::new(),
             records_well: true,
@@ -279,7 +284,6 @@
             Mail::Linked(commands) => self.linked(commands),
             Mail::Unlinked => {
                 self.tasks.link.commands = None;
-                self.gauges = Gauges::default();
                 self.checks.drain().for_each(|(_, check)| checked(&check.peer, check.request, false));
             }
             Mail::Line(line) => self.line(line),
@@ -305,6 +309,10 @@
 
     fn beat(&mut self) {
         let (now, tasks) = (self.tasks.now, &mut self.tasks);
+        // While a link is made anew the last gauges still tell more than none; old ones tell nothing.
+        if now >= self.read_at + STALE_MS {
+            self.gauges = Gauges::default();
+        }
         if let Some(server) = &mut self.server {
             server.beat(now, self.gauges, tasks);
         }
@@ -553,6 +561,7 @@
     }
 
     fn read_gauges(&mut self, values: &[f64]) {
+        self.read_at = self.tasks.now;
         self.gauges = Gauges::default();
         for (name, &value) in self.tasks.facts.gauges.iter().zip(values) {
             match name.as_str() {
--- a/crates/asterdale-daemon/src/runtime.rs
+++ b/crates/asterdale-daemon/src/runtime.rs
@@ -182,27 +182,26 @@
     let mut told = false;
     loop {
         at = moves.try_iter().last().unwrap_or(at);
-        let why = match TcpStream::connect_timeout(&at, PATIENCE) {
+        let (why, lasted) = match TcpStream::connect_timeout(&at, PATIENCE) {
             Ok(stream) => {
                 counters.links.add();
                 if log.may(&LINKED) {
                     slog::info!(log.lines, "runtime: linked");
                 }
                 told = false;
-                match serve(&Arc::new(stream), host, counters) {
-                    Some(why) => why,
-                    None => return,
-                }
+                let began = Instant::now();
+                let Some(why) = serve(&Arc::new(stream), host, counters) else { return };
+                (why, began.elapsed() >= YOUNG)
             }
-            Err(e) => e,
+            Err(e) => (e, false),
         };
         if !told && log.may(&BROKEN) {
             slog::warn!(log.lines, "runtime: no link"; "why" => %why);
             told = true;
         }
-        // A word that comes meanwhile is a new address, which is tried at once.
-        if let Ok(to) = moves.recv_timeout(AGAIN) {
-            at = to;
+        // One that had lasted is made again at once. A word that comes meanwhile is a new address.
+        if !lasted {
+            at = moves.recv_timeout(AGAIN).unwrap_or(at);
         }
     }
 }
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -99,8 +99,7 @@
         // Reading shares the cores with runs, and what is read late is worth little. When tasks lie unread
         // for over half a run, and twice what they do at best, runs give way: to half, or less where reading
         // costs under an eighth of a run (by trial). Where it is dear, quick rejections bring more of it.
-        let one = (1.0 / self.told.cores).min(0.5);
-        let least = (4.0 * self.unread_best / self.run_ms).clamp(one, 0.5);
+        let least = (4.0 * self.unread_best / self.run_ms).clamp((1.0 / self.told.cores).min(0.5), 0.5);
         let reading = ((2.0 * self.unread_best).max(0.5 * self.run_ms) / self.unread).clamp(least, 1.0);
         ((self.limit / 2.0).max(self.told.cores) * reading).max(1.0) // one core must not be left with none
     }
@@ -422,7 +421,7 @@
         }
         let jitter = 0.5 + 0.5 * self.chance.next(); // so that not all come back together
         let stay = most * jitter;
-        // Few rejections of late: the crowd is ours alone, or short, and the task may go elsewhere. Else those
+        // Few rejections of late: the crowd is ours alone or short, and the task may go elsewhere. Else those
         // who share our balancers are likely as full, and a walk through them only costs reading. To be cold
         // or slow is no reason: after a release many are cold, and when all work is dearer all look slow.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
@@ -430,8 +429,8 @@
         let ours = share <= FEW;
         // Where no credit steers callers, the stay has to: a long one moves work to those with room. Else it
         // is as long as rejections are many: longer, it would leave cores idle between two short crowds.
-        let steered = self.told.free_value == FreeValue::Credit;
-        (!ours, if ours && !steered { stay } else { share * stay })
+        let alone = ours && self.told.free_value != FreeValue::Credit;
+        (!ours, if alone { stay } else { share * stay })
     }
 
     // ---- Time ----
@@ -444,10 +443,10 @@
         let share = gauges.on_cores.map_or(1.0, |n| (self.told.cores / n.max(1.0)).min(1.0));
         self.core_time += share * (now - self.last_look);
         self.last_look = now;
-        // A gauge may be missing, late or wrong: with a run on every core, and the middle one longer than
-        // the p95 of calm ones, the cores are full whatever it reads.
+        // A gauge may be missing, late or wrong: with a run on every core, and the middle one longer than the
+        // p95 of calm ones, or as much waiting there as the buffer allows, they are full whatever it reads.
         let crowded = self.in_state(State::Running) as f64 >= self.told.cores;
-        let slow = crowded && self.pace > 1.0;
+        let slow = crowded && (self.pace > 1.0 || gauges.on_cores >= Some(2.0 * self.told.cores));
         // With half a core idle, of however many, a queue is forming; of two, nine tenths is late, by trial.
         self.cores_full = gauges.cpu.map_or(crowded, |cpu| cpu >= 1.0 - 0.5 / self.told.cores || slow);
         self.cpu = gauges.cpu.filter(|cpu| cpu.is_finite()).unwrap_or(1.0);
@@ -678,12 +677,14 @@
         }
         server.enter(self.0, State::Parked);
         if matches!(how, Outcome::Timeout | Outcome::Reset) {
-            server.call_ms += 0.2 * (took_ms - server.call_ms).max(0.0);
+            // A reply that never comes is one slow call, as three times the usual: it speaks for no other.
+            server.call_ms += 0.2 * (took_ms.min((3.0 * server.call_ms).max(BEAT)) - server.call_ms).max(0.0);
             server.lingering.push(now + server.told.linger_ms);
         }
         server.call_fails += 0.1 * (1.0 - server.call_fails);
-        // One server of a tier may fail calls while others have room: only when most fail is it the tier.
-        if server.told.below == Below::Shared || server.call_fails > 0.5 {
+        // One server of a tier may fail alone, and a spoilt reply tells of no crowd: only most failing does.
+        let full = server.told.below == Below::Shared && matches!(how, Outcome::Full | Outcome::Timeout);
+        if full || server.call_fails > 0.5 {
             server.cut_calls(now);
         }
         // Twice as long each time, with jitter: a layer that recovers must not meet all calls at once.
