What crosses the end of a connection's reading is answered while something is open

At fault: giving a connection up (edge.rs, Open::hush) ends its reading; a request that had come a moment before kept it open until its answer, and what the edge node sent meanwhile was drained unread. Excluded: the silent and idle limits (they look at the same state, and race in the same way), resets.

Changed: after its reading was ended a connection is still read while something is open on it; it ends once nothing is, microseconds after it was last found empty. The test fails without this.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -37,6 +37,8 @@
 const FIRST: u64 = 2000;
 /// The first request of a connection that is younger, in milliseconds, is taken to be under way.
 const COMING: u64 = 200;
+/// How often a connection whose reading was ended is looked at for what crossed that.
+const CROSSING: Duration = Duration::from_millis(2);
 /// Connections short of the most at which others are given up for them.
 const AHEAD: usize = 8;
 
@@ -54,6 +56,9 @@
     /// Ends its reading; what was read is still answered.
     fn hush(&mut self) {
         self.ending = true;
+        if let Some(peer) = self.peer.upgrade() {
+            peer.hushed.store(true, Ordering::Release);
+        }
         if let Some(stream) = self.stream.upgrade() {
             let _ = stream.shutdown(Shutdown::Read);
         }
@@ -423,6 +428,11 @@
             // All that came before was read: a request that comes now came no earlier.
             let now = Instant::now();
             match stream.read(incoming.room()) {
+                // Whatever crosses the end of the reading is still read, and answered, while something is open:
+                // the peer can't know of the end before the last answer.
+                Ok(0) if peer.hushed.load(Ordering::Acquire) && peer.open.load(Ordering::Acquire) > 0 => {
+                    thread::sleep(CROSSING);
+                }
                 Ok(0) => return End::Quiet,
                 Ok(count) => {
                     incoming.filled(count);
@@ -483,3 +493,49 @@
     /// It came no earlier: all that came before then was read.
     pub since: Instant,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crossbeam_channel::{bounded, unbounded};
+    use serde_json::json;
+    use std::io::Write;
+
+    /// A check as an edge node sends it; its path is the one parameter.
+    fn check(request: u8) -> Vec<u8> {
+        let mut bytes =
+            vec![1, 1, 0, request, 0, 8, 0, 0, 0, 1, 1, 0, 0, 0, 0, 0, 1, 4, 0, request, 0, 23, 0, 0];
+        bytes.extend(b"\x0b\x08SCRIPT_NAME/healthz\0\0");
+        bytes.extend([1, 4, 0, request, 0, 0, 0, 0, 1, 5, 0, request, 0, 0, 0, 0]);
+        bytes
+    }
+
+    #[test]
+    fn what_crosses_the_end_of_a_reading_is_answered_while_something_is_open() {
+        let start = json!({"name": "n", "listen": "127.0.0.1:0", "runtime": "127.0.0.1:1", "registry":
+            "127.0.0.1:1", "records": "127.0.0.1:1", "seed": "1", "stop_ms": 1, "limits": {"memory_mb": 32,
+            "sockets": 64}, "settings": {"extra": {"cores": 1, "memoryKb": 1}, "lanes": [{"name": "page"}]}});
+        let start = crate::start::read(start.to_string().as_bytes(), None, None).unwrap();
+        let ((host, mailbox), (writer, answers)) = (bounded(9), unbounded());
+        let (log, _guard) = Log::to_stderr("n");
+        let edge = Arc::new(Edge::new(&start, host, writer, Arc::default(), log));
+        let writer = edge.writer(answers);
+        thread::spawn(move || writer.serve());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        far.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        edge.begin(1, listener.accept().unwrap().0, Instant::now()).unwrap();
+        let next = || mailbox.recv_timeout(Duration::from_secs(30)).expect("a check");
+        far.write_all(&check(1)).unwrap();
+        let Mail::Check { peer, request: 1, .. } = next() else { panic!() };
+        edge.hush();
+        thread::sleep(CROSSING * 10);
+        far.write_all(&check(2)).unwrap();
+        let Mail::Check { request: 2, .. } = next() else { panic!() };
+        (1..=2).for_each(|request| peer.answer(senseless(request)));
+        drop(peer);
+        let mut all = Vec::new();
+        far.read_to_end(&mut all).unwrap();
+        assert_eq!(all.windows(11).filter(|part| part == b"Status: 400").count(), 2);
+    }
+}
--- a/crates/asterdale-daemon/src/peer.rs
+++ b/crates/asterdale-daemon/src/peer.rs
@@ -39,6 +39,8 @@
     pub asked: AtomicBool,
     /// Half a request is there.
     pub half: AtomicBool,
+    /// Its reading was ended from this side.
+    pub hushed: AtomicBool,
     /// Goes with the last who holds the peer.
     _held: Sender<()>,
 }
@@ -69,6 +71,7 @@
             wrote: 0.into(),
             asked: false.into(),
             half: false.into(),
+            hushed: false.into(),
             _held: held,
         };
         (Arc::new(peer), free)
