Advice to stay away is short where few could take what it moves; ends are told at once

A rejection while few are rejected sent a balancer away for 0.5 to 1 s, an eighth of all work, to two others who then did the same. At fault: advice() in decide.rs, which knows many servers only.

At fault: edge.rs told the end only after giving the connection back. It is told now right after nothing was found.

Changed: while few are rejected the stay is 1 - 4 / servers of what it was; never shorter than the share of rejections, nor than a beat.

--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -39,6 +39,8 @@
 const COMING: u64 = 200;
 /// How often a connection whose reading was ended is looked at for what crossed that.
 const CROSSING: Duration = Duration::from_millis(2);
+/// And how often for the rest of half a request: 50 ms, as long as one that crosses an end comes again.
+const MOST_ROUNDS: usize = 25;
 /// Connections short of the most at which others are given up for them.
 const AHEAD: usize = 8;
 
@@ -374,7 +376,7 @@
         mut since: Instant,
     ) -> End {
         let (mut incoming, mut requests) = (Incoming::default(), Requests::default());
-        let (mut first, mut told) = (true, 0);
+        let (mut first, mut told, mut rounds) = (true, 0, 0);
         loop {
             loop {
                 let open = peer.open.load(Ordering::Acquire) + requests.begun();
@@ -429,8 +431,15 @@
             let now = Instant::now();
             match stream.read(incoming.room()) {
                 // Whatever crosses the end of the reading is still read, and answered, while something is open:
-                // the peer can't know of the end before the last answer.
-                Ok(0) if peer.hushed.load(Ordering::Acquire) && peer.open.load(Ordering::Acquire) > 0 => {
+                // the peer can't know of the end before the last answer. The end is told the moment after
+                // nothing was found, so that next to nothing crosses it however long this process is paused.
+                Ok(0) if peer.hushed.load(Ordering::Acquire) => {
+                    let open = peer.open.load(Ordering::Acquire) > 0 || Arc::strong_count(peer) > 1;
+                    rounds += 1;
+                    if !(open || half && rounds < MOST_ROUNDS) {
+                        let _ = stream.shutdown(Shutdown::Write);
+                        return End::Quiet;
+                    }
                     thread::sleep(CROSSING);
                 }
                 Ok(0) => return End::Quiet,
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -419,18 +419,18 @@
         if self.leaving.is_some() {
             return (false, most);
         }
-        let jitter = 0.5 + 0.5 * self.chance.next(); // so that not all come back together
-        let stay = most * jitter;
+        let stay = most * (0.5 + 0.5 * self.chance.next());
         // Few rejections of late: the crowd is ours alone or short, and the task may go elsewhere. Else those
         // who share our balancers are likely as full, and a walk through them only costs reading. To be cold
         // or slow is no reason: after a release many are cold, and when all work is dearer all look slow.
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
         let ours = share <= FEW;
-        // Where no credit steers callers, the stay has to: a long one moves work to those with room. Else it
-        // is as long as rejections are many: longer, it would leave cores idle between two short crowds.
-        let alone = ours && self.told.free_value != FreeValue::Credit;
-        (!ours, if alone { stay } else { share * stay })
+        // Where no credit steers callers, the stay has to: a long one moves work to those with room; four would
+        // drown in it. Else it is as long as rejections are many: no cores lie idle. Chance parts those who come.
+        let moves = ours && self.told.free_value != FreeValue::Credit;
+        let part = if moves { 1.0 - 4.0 / self.told.servers.max(4.0) } else { 0.0 };
+        (!ours, (share.max(part) * stay).max(most.min(BEAT)))
     }
 
     // ---- Time ----
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -385,6 +385,19 @@
     assert!((s.call_window - 0.7 * 4.25).abs() < 1e-9);
 }
 
+#[test]
+fn advice_to_stay_away_is_long_only_where_many_others_can_take_what_it_moves() {
+    for (servers, least, most) in [(16.0, 375.0, 750.0), (3.0, 10.0, 10.0)] {
+        let mut s = server(Told { servers, advice_ms: 1_000.0, ..told() });
+        s.customers[0].read.add(100.0);
+        let (last, stay) = s.advice();
+        assert!(!last && (least..=most).contains(&stay), "{servers}: {stay}");
+        s.rejected.add(40.0);
+        let (last, stay) = s.advice();
+        assert!(last && (200.0..=400.0).contains(&stay), "{servers}: {stay}");
+    }
+}
+
 #[test]
 fn spoilt_replies_and_one_that_never_comes_leave_the_calls_of_others_alone() {
     let shared = Told { below: Below::Shared, calls_share: 10.0, ..told() };
