--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -426,8 +426,8 @@
         let read = self.customers.iter().map(|c| c.read.total()).sum::<f64>().max(1.0);
         let share = self.rejected.total() / read;
         let ours = share <= FEW;
-        // Where no credit steers callers, the stay has to: a long one moves work to those with room (four would
-        // drown in it). Else it is as long as rejections are many: no cores lie idle. Chance parts callers.
+        // Where no credit steers callers, the stay has to: a long one moves work to those with room (four
+        // would drown in it). Else it is as long as rejections are many: no cores lie idle. Chance parts callers.
         let moves = ours && self.told.free_value != FreeValue::Credit;
         let part = if moves { 1.0 - 4.0 / self.told.servers.max(4.0) } else { 0.0 };
         (!ours, (share.max(part) * stay).max(most.min(BEAT)))
