One late or lost call speaks for no other, and a lost one gives its place back soon

Excluded: CPU (0.14 of its limit), the cores, the transport (0.1 ms each way).

At fault: call_over and place_calls in decide.rs. Changed: one call counts as twice the usual at most; a call is given up at sixteen times the usual (40 ms at the least); a time-out cuts the window only where most calls fail.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -50,11 +50,6 @@
         server
     }
 
-    /// How many stages there are.
-    pub fn stages(&self) -> usize {
-        self.stages.len()
-    }
-
     fn in_state(&self, state: State) -> usize {
         self.count[state as usize]
     }
@@ -427,7 +422,7 @@
         let share = self.rejected.total() / read;
         let ours = share <= FEW;
         // Where no credit steers callers, the stay has to: a long one moves work to those with room (four
-        // would drown in it). Else it is as long as rejections are many: no cores lie idle. Chance parts callers.
+        // would drown in it). Else it is as long as rejections are many: no cores lie idle.
         let moves = ours && self.told.free_value != FreeValue::Credit;
         let part = if moves { 1.0 - 4.0 / self.told.servers.max(4.0) } else { 0.0 };
         (!ours, (share.max(part) * stay).max(most.min(BEAT)))
@@ -613,6 +608,8 @@
                 // It earns nothing more: it would hold memory and a place, and take a call from others.
                 self.give_up(n, m);
             } else if now >= task.not_before {
+                // What takes sixteen times the usual is not coming, and keeps its place from others.
+                let spare = spare.min((16.0 * self.call_ms).max(4.0 * BEAT));
                 let patience = spare.min(self.call_room(now) - self.told.linger_ms);
                 if patience >= spare.min(4.0 * self.call_ms).max(BEAT) {
                     ahead -= 1.0;
@@ -657,9 +654,12 @@
         if task.state != State::Calling {
             return;
         }
+        // A reply that comes late, or never, counts as twice the usual: one speaks for no other.
+        let usual = if server.call_ms > 0.0 { server.call_ms } else { took_ms };
+        let timed = took_ms.min(2.0 * usual);
         if how == Outcome::Ok {
             server.call_fails *= 0.9;
-            server.call_ms += 0.2 * (took_ms - server.call_ms);
+            server.call_ms += 0.2 * (timed - server.call_ms);
             server.call_times.add(took_ms);
             if server.call_times.total >= 400 {
                 server.call_times.halve();
@@ -677,13 +677,12 @@
         }
         server.enter(self.0, State::Parked);
         if matches!(how, Outcome::Timeout | Outcome::Reset) {
-            // A reply that never comes is one slow call, as three times the usual: it speaks for no other.
-            server.call_ms += 0.2 * (took_ms.min((3.0 * server.call_ms).max(BEAT)) - server.call_ms).max(0.0);
+            server.call_ms += 0.2 * (timed - server.call_ms).max(0.0);
             server.lingering.push(now + server.told.linger_ms);
         }
         server.call_fails += 0.1 * (1.0 - server.call_fails);
         // One server of a tier may fail alone, and a spoilt reply tells of no crowd: only most failing does.
-        let full = server.told.below == Below::Shared && matches!(how, Outcome::Full | Outcome::Timeout);
+        let full = server.told.below == Below::Shared && how == Outcome::Full;
         if full || server.call_fails > 0.5 {
             server.cut_calls(now);
         }
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -179,6 +179,11 @@
 }
 
 impl Server {
+    /// How many stages there are.
+    pub fn stages(&self) -> usize {
+        self.stages.len()
+    }
+
     /// A server with nothing in it and nothing decided. One without customers gets a row for all its tasks.
     pub(crate) fn blank(told: Told, now: f64) -> Server {
         let row = |facts: &StageFacts| Stage { facts: facts.clone(), calm: Spread::default(), base: 0.0 };
