A shared layer that slows still gets a fifth of this server's slice of calls

With three backends three calls are out in all, and one that timed out keeps its place 200 ms more. At fault: the floor of 1 in cut_calls, right for eleven backends and more, whose slices are small.

Changed: the floor is a fifth of our slice, never under 1.

--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -547,11 +547,12 @@
             && self.call_ms > 2.0 * self.call_times.quantile(0.5)
     }
 
-    /// Cut once for one trouble below, not once for each call that it takes along.
+    /// Cut once for one trouble below, not once a call; to a fifth of our slice of what it survives, if shared.
     fn cut_calls(&mut self, now: f64) {
         if now - self.cut_at > self.call_ms {
             self.cut_at = now;
-            let least = if self.told.below == Below::Shared { 1.0 } else { self.told.cores };
+            let slice = (0.2 * self.told.calls_share).max(1.0); // a layer is sluggish long before it falls over
+            let least = if self.told.below == Below::Shared { slice } else { self.told.cores };
             self.call_window = (0.7 * self.call_window).max(least);
         }
     }
@@ -655,8 +656,7 @@
             return;
         }
         // A reply that comes late, or never, counts as twice the usual: one speaks for no other.
-        let usual = if server.call_ms > 0.0 { server.call_ms } else { took_ms };
-        let timed = took_ms.min(2.0 * usual);
+        let timed = if server.call_ms > 0.0 { took_ms.min(2.0 * server.call_ms) } else { took_ms };
         if how == Outcome::Ok {
             server.call_fails *= 0.9;
             server.call_ms += 0.2 * (timed - server.call_ms);
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -437,6 +437,18 @@
     }
 }
 
+#[test]
+fn a_shared_layer_that_slows_still_gets_a_fifth_of_our_slice() {
+    for (calls_share, least) in [(15.0, 3.0), (0.5, 1.0)] {
+        let mut s = server(Told { below: Below::Shared, calls_share, ..told() });
+        s.call_window = 8.0;
+        for n in 1..20 {
+            s.cut_calls(f64::from(n) * 10.0);
+        }
+        assert_eq!(s.call_window, least);
+    }
+}
+
 #[test]
 fn a_call_window_cut_to_one_recovers_by_the_calls_it_lets_out() {
     let shared = Told { below: Below::Shared, calls_share: 10.0, ..told() };
