A key whose start was turned down, or void, is free for a true try

At fault: host.rs marked such a key as failed, so that a genuine try under it would be abandoned for its whole window; a bad client that knows a key could spoil it. Nothing was started, so nothing can have its effect twice: an end that ran is noticed before, by number.

--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -602,7 +602,11 @@
                 Outcome::Error
             }
         };
-        tasks.ended(task, result.as_ref());
+        if how == How::Noop {
+            tasks.forget(task); // nothing was started: a true try under this key may still run
+        } else {
+            tasks.ended(task, result.as_ref());
+        }
         task.run_over(server, tasks.now, outcome, tasks);
     }
 
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -504,6 +504,15 @@
     assert_eq!(edge.status(1), "500");
 }
 
+#[test]
+fn a_key_whose_start_was_turned_down_is_free_for_a_true_try() {
+    let (backend, mut edge) = running("bid");
+    backend.runtime.say(&json!({"t": "nack", "status": "start", "rid": A}).to_string());
+    assert_eq!(edge.status(1), "500");
+    edge.task(2, "bid", B, &[KEY]);
+    assert_eq!(backend.runtime.command("start")["rid"], B);
+}
+
 #[test]
 fn leaving_answers_all_that_was_read_and_ends_well() {
     let mut backend = Backend::start();
