--- a/crates/asterdale-daemon/src/host.rs
+++ b/crates/asterdale-daemon/src/host.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use asterdale::told::{Arrival, Gauges, Outcome, Repeat};
-use asterdale::Server;
+use asterdale::{Machine, Server};
 use asterdale_fastcgi::{ended, refusal, Answer};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
