--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -357,6 +357,7 @@
     std::thread::sleep(std::time::Duration::from_millis(750)); // the way out is 300 ms of the second
     edge.task(1, "page", A, &[]);
     assert_eq!(edge.status(1), "503");
+    assert_eq!(backend.runtime.commanded(), None);
 }
 
 #[test]
