Identity: tokens, keyring, rights and what signatures may cost, without I/O

Need: the users' first wish is to know who is calling, so that a clerk and a phone bidder have different powers, with keys that change in service.

Change: crates/asterdale-identity takes bytes and times and gives verdicts. token: JWT in JWS compact form, Ed25519 alone, read whole and bounded before its signature is checked. keyring: signed sets of keys with numbers; phases follow from the times; older, reused, unreadable sets are refused. rights: roles with stages, places and rates for each tenant. budget: signatures for each edge node and in all, half kept for those in good standing. cache: proven tokens, looked at anew each time; refused ones in a table of fixed size. refresh and publish: when to fetch, how an issuer rotates. mint: the issuer's side.

--- /dev/null
+++ b/crates/asterdale-identity/src/tests.rs
@@ -0,0 +1,283 @@
+//! The two gates with real tokens and sets.
+
+use serde_json::json;
+
+use crate::keyring::{public_key, Offered, PublicKey, Published, Revoked};
+use crate::mint::{sign, Secret};
+use crate::rights::{Denied, Role, Tenant};
+use crate::token::{Audience, Claims};
+use crate::{Ask, Facts, Identity, Kind, Why};
+
+const NOW: f64 = 1_000_000.0;
+
+fn text(text: &str) -> String {
+    text.to_owned()
+}
+
+fn secret(n: u8) -> Secret {
+    Secret::from_seed([n; 32], &format!("k{n}"))
+}
+
+fn facts() -> Facts {
+    let role = |name: &str, stages: &[usize]| Role {
+        name: text(name),
+        stages: stages.to_vec(),
+        open: 9,
+        per_s: 100.0,
+        burst: 100.0,
+        hint_ms: f64::INFINITY,
+    };
+    let tenant = |name: &str| Tenant { name: text(name), customer: 1, roles: vec![text("clerk")] };
+    Facts {
+        seed: 5,
+        issuer: text("issuer"),
+        audience: text("asterdale"),
+        roots: vec![secret(99).public()],
+        most_age_ms: 60_000.0,
+        skew_ms: 500.0,
+        cache: 64,
+        per_edge: 10.0,
+        in_all: 100.0,
+        roles: vec![role("clerk", &[0])],
+        tenants: vec![tenant("a"), tenant("b")],
+    }
+}
+
+fn set(seq: u64, change: impl FnOnce(&mut Published)) -> String {
+    let key = |n: u8, from_ms, until_ms| {
+        let secret = secret(n);
+        let (kty, crv) = (text("OKP"), text("Ed25519"));
+        PublicKey { kty, crv, kid: text(secret.id()), x: secret.public_text(), from_ms, until_ms }
+    };
+    let keys = vec![
+        key(1, 0.0, Some(NOW + 5_000.0)),
+        key(2, NOW - 5_000.0, None),
+        key(3, NOW + 5_000.0, None),
+        key(4, 0.0, Some(NOW - 5_000.0)),
+    ];
+    let mut set = Published { seq, issued_ms: NOW, keys, revoked: Revoked::default() };
+    change(&mut set);
+    secret(99).set(&set)
+}
+
+fn identity() -> Identity {
+    let mut identity = Identity::new(NOW, facts()).unwrap();
+    assert_eq!(identity.offer(NOW, set(1, |_| ()).as_bytes()), Ok(Offered::Adopted));
+    identity
+}
+
+fn claims(tenant: &str, jti: &str) -> Claims {
+    Claims {
+        iss: text("issuer"),
+        aud: Audience::One(text("asterdale")),
+        sub: text("s"),
+        tenant: text(tenant),
+        roles: vec![text("clerk")],
+        exp: (NOW + 10_000.0) / 1000.0,
+        nbf: None,
+        iat: None,
+        jti: text(jti),
+    }
+}
+
+fn token(key: u8, change: impl FnOnce(&mut Claims)) -> String {
+    let mut claims = claims("a", "1");
+    change(&mut claims);
+    secret(key).token(&claims)
+}
+
+fn ask(identity: &mut Identity, now: f64, token: &str) -> Result<u32, Why> {
+    let ask = Ask { token: Some(token.as_bytes()), edge: 4, arrived_ms: now };
+    identity.identify(now, ask).map(|caller| caller.tenant).map_err(|denied| denied.why)
+}
+
+#[test]
+fn keys_in_every_phase_and_tokens_at_every_time() {
+    let mut identity = identity();
+    for (key, now, want) in [
+        (1, NOW, Ok(0)),
+        (2, NOW, Ok(0)),
+        (3, NOW, Err(Why::KeyEarly)),
+        (4, NOW, Err(Why::KeyRetired)),
+        (5, NOW, Err(Why::KeyUnknown)),
+        (1, NOW + 5_499.0, Ok(0)),
+        (1, NOW + 5_500.0, Err(Why::KeyRetired)),
+        (3, NOW + 4_500.0, Ok(0)),
+        (2, NOW + 10_499.0, Ok(0)),
+        (2, NOW + 10_500.0, Err(Why::Expired)),
+    ] {
+        assert_eq!(ask(&mut identity, now, &token(key, |_| ())), want, "key {key} at {}", now - NOW);
+    }
+    let early = token(2, |claims| claims.nbf = Some((NOW + 1_000.0) / 1000.0));
+    assert_eq!(ask(&mut identity, NOW + 499.0, &early), Err(Why::Early));
+    assert_eq!(ask(&mut identity, NOW + 501.0, &early), Ok(0));
+}
+
+#[test]
+fn what_is_not_meant_for_here_is_refused_and_each_says_why() {
+    let mut identity = identity();
+    type Change = fn(&mut Claims);
+    let changes: [(Change, Why); 3] = [
+        (|claims| claims.iss = text("other"), Why::Issuer),
+        (|claims| claims.aud = Audience::Several(vec![text("x")]), Why::Audience),
+        (|claims| claims.tenant = text("c"), Why::Tenant),
+    ];
+    for (change, why) in changes {
+        assert_eq!(ask(&mut identity, NOW, &token(2, change)), Err(why));
+    }
+    let forged = sign(&secret(7), &json!({"alg": "EdDSA", "kid": "k2"}), &json!(claims("a", "1")));
+    assert_eq!(ask(&mut identity, NOW, &forged), Err(Why::Signature));
+    let none = Ask { token: None, edge: 4, arrived_ms: NOW };
+    assert_eq!(identity.identify(NOW, none).unwrap_err(), Denied::from(Why::Missing));
+    assert_eq!(ask(&mut identity, NOW, &"x".repeat(5000)), Err(Why::Malformed));
+}
+
+#[test]
+fn nothing_outlives_what_it_rests_on_however_well_it_is_remembered() {
+    type Change = fn(&mut Published);
+    let changes: [(Change, Why); 5] = [
+        (
+            |set| {
+                set.revoked.tokens.insert(text("1"));
+            },
+            Why::TokenRevoked,
+        ),
+        (
+            |set| {
+                set.revoked.subjects.insert(text("a/s"));
+            },
+            Why::SubjectRevoked,
+        ),
+        (
+            |set| {
+                set.revoked.tenants.insert(text("a"));
+            },
+            Why::TenantRevoked,
+        ),
+        (
+            |set| {
+                set.revoked.keys.insert(text("k2"));
+            },
+            Why::KeyRevoked,
+        ),
+        (|set| set.keys.retain(|key| key.kid != "k2"), Why::KeyRetired),
+    ];
+    for (change, why) in changes {
+        let mut identity = identity();
+        let (good, other) = (token(2, |_| ()), token(1, |claims| *claims = claims_of_b()));
+        assert_eq!((ask(&mut identity, NOW, &good), ask(&mut identity, NOW, &other)), (Ok(0), Ok(1)));
+        let caller = Ask { token: Some(good.as_bytes()), edge: 4, arrived_ms: NOW };
+        let caller = identity.identify(NOW, caller).unwrap();
+        assert_eq!(identity.revoked(&caller), None);
+        identity.offer(NOW, set(2, change).as_bytes()).unwrap();
+        let checked = identity.cost().0;
+        for _ in 0..1000 {
+            assert_eq!(ask(&mut identity, NOW, &good), Err(why));
+        }
+        assert_eq!(identity.revoked(&caller), (why != Why::KeyRetired).then_some(why));
+        assert_eq!(ask(&mut identity, NOW, &other), Ok(1));
+        assert_eq!(identity.cost().0, checked, "a signature was checked");
+    }
+}
+
+fn claims_of_b() -> Claims {
+    Claims { sub: text("other"), ..claims("b", "2") }
+}
+
+#[test]
+fn without_a_set_or_with_one_too_old_nobody_is_judged_but_the_revoked() {
+    let good = token(2, |claims| claims.exp += 1e6);
+    let mut identity = Identity::new(NOW, facts()).unwrap();
+    // Its key is not known to be unknown: there is no set.
+    assert_eq!(ask(&mut identity, NOW, &good), Err(Why::NoKeys));
+    identity
+        .offer(
+            NOW,
+            set(1, |set| {
+                set.revoked.tokens.insert(text("9"));
+            })
+            .as_bytes(),
+        )
+        .unwrap();
+    assert_eq!(ask(&mut identity, NOW + 60_000.0, &good), Ok(0));
+    let revoked = token(2, |claims| (claims.exp, claims.jti) = (1e9, text("9")));
+    assert_eq!(ask(&mut identity, NOW + 60_001.0, &good), Err(Why::NoKeys));
+    assert_eq!(ask(&mut identity, NOW + 60_001.0, &revoked), Err(Why::TokenRevoked));
+    let fresh = set(2, |set| set.issued_ms = NOW + 60_000.0);
+    identity.offer(NOW + 60_001.0, fresh.as_bytes()).unwrap();
+    assert_eq!(ask(&mut identity, NOW + 60_001.0, &good), Ok(0));
+}
+
+#[test]
+fn a_flood_of_new_wrong_tokens_costs_its_own_edge_node_alone() {
+    let mut identity = identity();
+    let known = token(2, |_| ());
+    assert_eq!(ask(&mut identity, NOW, &known), Ok(0));
+    let wrong =
+        |n: u32| sign(&secret(7), &json!({"alg": "EdDSA", "kid": "k2"}), &json!(claims("a", &n.to_string())));
+    let mut busy = 0;
+    for n in 0..500 {
+        busy += u32::from(ask(&mut identity, NOW, &wrong(n)) == Err(Why::Busy));
+    }
+    assert!(busy > 480, "{busy}");
+    assert_eq!(ask(&mut identity, NOW, &known), Ok(0), "a known one through the same edge node");
+    let new = token(2, |claims| claims.jti = text("new"));
+    let elsewhere = Ask { token: Some(new.as_bytes()), edge: 5, arrived_ms: NOW };
+    assert!(identity.identify(NOW, elsewhere).is_ok());
+    let here = Ask { edge: 4, ..elsewhere };
+    assert!(identity.identify(NOW, here).is_ok(), "it is known by now");
+    let late = token(2, |claims| claims.jti = text("late"));
+    let denied = identity.identify(NOW, Ask { token: Some(late.as_bytes()), ..here }).unwrap_err();
+    assert!(denied.why == Why::Busy && denied.wait_ms > 0.0, "{denied:?}");
+}
+
+#[test]
+fn a_clock_that_jumps_lengthens_no_life() {
+    let mut identity = identity();
+    let short = token(2, |claims| claims.exp = (NOW + 1_000.0) / 1000.0);
+    assert_eq!(ask(&mut identity, NOW, &short), Ok(0));
+    assert_eq!(ask(&mut identity, NOW + 1e9, &short), Err(Why::NoKeys));
+    assert_eq!(ask(&mut identity, NOW + 2_000.0, &short), Err(Why::Expired));
+    // It was valid then; that it is not now is not remembered against it.
+    assert_eq!(ask(&mut identity, NOW, &short), Ok(0));
+    // One that says that it arrives later than now is judged at now.
+    let ahead = Ask { token: Some(short.as_bytes()), edge: 4, arrived_ms: NOW + 1e9 };
+    assert!(identity.identify(NOW, ahead).is_ok());
+    assert_eq!(ask(&mut identity, 0.0, &short), Err(Why::KeyEarly));
+}
+
+#[test]
+fn a_new_start_file_holds_at_once() {
+    let mut identity = identity();
+    let good = token(2, |_| ());
+    assert_eq!(ask(&mut identity, NOW, &good), Ok(0));
+    identity.retold(Facts { audience: text("other"), ..facts() }).unwrap();
+    assert_eq!(ask(&mut identity, NOW, &good), Err(Why::Audience));
+    let tenants = vec![Tenant { name: text("b"), customer: 0, roles: vec![] }];
+    identity.retold(Facts { tenants, ..facts() }).unwrap();
+    assert_eq!(ask(&mut identity, NOW, &good), Err(Why::Tenant));
+    identity.retold(facts()).unwrap();
+    assert_eq!(ask(&mut identity, NOW, &good), Ok(0));
+}
+
+#[test]
+fn only_what_never_ran_is_told_as_such() {
+    use Why::*;
+    for why in [Missing, Malformed, Signature, Expired, TokenRevoked, SubjectRevoked, KeyRevoked, KeyRetired]
+    {
+        assert_eq!(why.kind(), Kind::Unknown);
+    }
+    for why in [Tenant, Role, Stage, Hint] {
+        assert_eq!(why.kind(), Kind::Forbidden);
+    }
+    assert_eq!([Open, Rate].map(Why::kind), [Kind::Over; 2]);
+    assert_eq!([NoKeys, Busy].map(Why::kind), [Kind::Unable; 2]);
+}
+
+#[test]
+fn a_root_key_is_read_from_its_text() {
+    assert_eq!(public_key(&secret(1).public_text()), Some(secret(1).public()));
+    for bad in ["", "x", "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"] {
+        assert_eq!(public_key(bad), None, "{bad}");
+    }
+}
--- /dev/null
+++ b/crates/asterdale-identity/src/token.rs
@@ -0,0 +1,320 @@
+//! The form of a token: a JWT (RFC 7519) in JWS compact form (RFC 7515), signed with Ed25519 (RFC 8037). It is
+//! read whole before its signature is checked, so that whatever refuses it costs no cryptography. What is read
+//! claims nothing until then.
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use ed25519_dalek::{Signature, VerifyingKey};
+use serde::{Deserialize, Serialize};
+
+use crate::Why;
+
+/// A token is no longer, in bytes: a parameter of a request, beside which there must be room for others.
+pub const MOST_TOKEN: usize = 4096;
+/// Roles that a token may carry. An office's staff has two or three.
+pub const MOST_ROLES: usize = 8;
+/// Names in a token (subject, tenant, role, ids) are no longer, in bytes.
+pub const MOST_NAME: usize = 128;
+/// Brackets within brackets in a part. Claims need one; what is unknown may have a few.
+const MOST_NESTED: usize = 8;
+
+/// The one algorithm that is taken. `none` and the symmetric ones don't get as far as a key.
+pub const ALGORITHM: &str = "EdDSA";
+
+/// The head of a token. A field that tells how the signature is to be checked, and is not known here, must not
+/// be passed over: all unknown ones are refused, `jwk`, `jku`, `x5c` and `crit` among them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Head {
+    /// The algorithm.
+    pub alg: String,
+    /// The id of the key.
+    pub kid: String,
+    /// What it is a head of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub typ: Option<String>,
+}
+
+/// What a token claims. Times are Unix seconds, as RFC 7519 has them. Unknown claims are passed over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Claims {
+    /// Who issued it.
+    pub iss: String,
+    /// For whom it is meant: one name, or several.
+    pub aud: Audience,
+    /// The subject: whom it speaks for, within the tenant.
+    pub sub: String,
+    /// The tenant.
+    pub tenant: String,
+    /// What the subject is there for.
+    pub roles: Vec<String>,
+    /// Not accepted from then on.
+    pub exp: f64,
+    /// Not accepted before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub nbf: Option<f64>,
+    /// When it was issued.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub iat: Option<f64>,
+    /// Its own id, by which it can be revoked.
+    pub jti: String,
+}
+
+/// `aud` as RFC 7519 allows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Audience {
+    /// One name.
+    One(String),
+    /// Several.
+    Several(Vec<String>),
+}
+
+impl Audience {
+    /// Whether this name is meant.
+    pub fn holds(&self, name: &str) -> bool {
+        match self {
+            Audience::One(one) => one == name,
+            Audience::Several(all) => all.iter().any(|one| one == name),
+        }
+    }
+}
+
+/// A token as it was read, its signature not checked.
+pub struct Unproven<'a> {
+    /// Its head.
+    pub head: Head,
+    /// What it claims.
+    pub claims: Claims,
+    signed: &'a [u8],
+    signature: Signature,
+}
+
+/// The three parts of the compact form, and what the signature covers.
+struct Parts<'a> {
+    head: Vec<u8>,
+    body: Vec<u8>,
+    signed: &'a [u8],
+    signature: Signature,
+}
+
+/// Takes the compact form apart. Anything but two dots (the JSON forms, with their several signatures, among
+/// them) and strict base64url is malformed.
+fn parts(text: &[u8]) -> Option<Parts<'_>> {
+    let mut dots = text.iter().enumerate().filter(|(_, &byte)| byte == b'.').map(|(at, _)| at);
+    let (first, second) = (dots.next()?, dots.next()?);
+    if dots.next().is_some() {
+        return None;
+    }
+    let decode = |part: &[u8]| URL_SAFE_NO_PAD.decode(part).ok();
+    let signature = decode(&text[second + 1..])?;
+    Some(Parts {
+        head: decode(&text[..first])?,
+        body: decode(&text[first + 1..second])?,
+        signed: &text[..second],
+        signature: Signature::from_slice(&signature).ok()?,
+    })
+}
+
+/// Brackets within brackets, outside of strings. Counted before anything is read, so that depth costs nothing.
+fn nested(json: &[u8]) -> usize {
+    let (mut depth, mut deepest, mut quoted, mut escaped) = (0usize, 0, false, false);
+    for &byte in json {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            _ if quoted => {}
+            b'{' | b'[' => {
+                depth += 1;
+                deepest = deepest.max(depth);
+            }
+            b'}' | b']' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    deepest
+}
+
+fn parse<'a, T: Deserialize<'a>>(json: &'a [u8]) -> Option<T> {
+    (nested(json) <= MOST_NESTED).then(|| serde_json::from_slice(json).ok())?
+}
+
+fn named(name: &str) -> bool {
+    (1..=MOST_NAME).contains(&name.len()) && !name.chars().any(char::is_control)
+}
+
+/// Reads a token. What comes back is no more than a claim.
+pub fn read(text: &[u8]) -> Result<Unproven<'_>, Why> {
+    if text.len() > MOST_TOKEN {
+        return Err(Why::Malformed);
+    }
+    let parts = parts(text).ok_or(Why::Malformed)?;
+    // The algorithm is told apart first: `none` has no key id, and its reason should be the true one.
+    #[derive(Deserialize)]
+    struct Algorithm {
+        alg: String,
+    }
+    let named_alg: Algorithm = parse(&parts.head).ok_or(Why::Malformed)?;
+    if named_alg.alg != ALGORITHM {
+        return Err(Why::Algorithm);
+    }
+    let head: Head = parse(&parts.head).ok_or(Why::Malformed)?;
+    if !named(&head.kid) || head.typ.as_deref().is_some_and(|typ| !typ.eq_ignore_ascii_case("JWT")) {
+        return Err(Why::Malformed);
+    }
+    let claims: Claims = parse(&parts.body).ok_or(Why::Malformed)?;
+    let names = [&claims.iss, &claims.sub, &claims.tenant, &claims.jti];
+    let sensible = names.into_iter().chain(&claims.roles).all(|name| named(name))
+        && claims.roles.len() <= MOST_ROLES
+        && [Some(claims.exp), claims.nbf, claims.iat].into_iter().flatten().all(f64::is_finite);
+    if !sensible {
+        return Err(Why::Malformed);
+    }
+    Ok(Unproven { head, claims, signed: parts.signed, signature: parts.signature })
+}
+
+impl Unproven<'_> {
+    /// Whether this key signed it. Strict: no key of small order, and one signature only for each text.
+    pub fn signed_by(&self, key: &VerifyingKey) -> bool {
+        key.verify_strict(self.signed, &self.signature).is_ok()
+    }
+}
+
+/// Reads a signed document of another kind (a set of keys): its key id and its body, once any of these keys
+/// proves to have signed it.
+pub fn document(text: &[u8], typ: &str, keys: &[VerifyingKey]) -> Result<Vec<u8>, Why> {
+    let parts = parts(text).ok_or(Why::Malformed)?;
+    let head: Head = parse(&parts.head).ok_or(Why::Malformed)?;
+    if head.alg != ALGORITHM {
+        return Err(Why::Algorithm);
+    }
+    if head.typ.as_deref() != Some(typ) {
+        return Err(Why::Malformed);
+    }
+    let proven = keys.iter().any(|key| key.verify_strict(parts.signed, &parts.signature).is_ok());
+    if !proven {
+        return Err(Why::Signature);
+    }
+    Ok(parts.body)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::mint::{sign, Secret};
+    use proptest::prelude::*;
+    use serde_json::{json, Value};
+
+    fn claims() -> Value {
+        json!({"iss": "i", "aud": ["x", "asterdale"], "sub": "s", "tenant": "t", "roles": ["clerk"],
+            "exp": 2000.5, "jti": "1", "more": {"deep": [1]}})
+    }
+
+    fn made(head: Value, claims: Value) -> String {
+        sign(&Secret::from_seed([7; 32], "k"), &head, &claims)
+    }
+
+    fn reason(text: &[u8]) -> Option<Why> {
+        read(text).err()
+    }
+
+    #[test]
+    fn a_token_is_read_and_its_signature_belongs_to_its_text_and_key_alone() {
+        let head = json!({"alg": "EdDSA", "kid": "k", "typ": "JWT"});
+        let text = made(head.clone(), claims());
+        let token = read(text.as_bytes()).unwrap();
+        assert!(token.claims.aud.holds("asterdale") && !token.claims.aud.holds("aster"));
+        let (own, other) = (Secret::from_seed([7; 32], "k"), Secret::from_seed([8; 32], "k"));
+        assert!(token.signed_by(&own.public()) && !token.signed_by(&other.public()));
+        let mut changed = claims();
+        changed["sub"] = json!("other");
+        let changed = made(head, changed);
+        let (body, signature) = (changed.rsplit_once('.').unwrap().0, text.rsplit_once('.').unwrap().1);
+        let grafted = format!("{body}.{signature}");
+        assert!(!read(grafted.as_bytes()).unwrap().signed_by(&own.public()));
+    }
+
+    #[test]
+    fn only_the_named_algorithm_gets_as_far_as_a_key() {
+        for alg in ["none", "None", "HS256", "RS256", "ES256", "eddsa", ""] {
+            let text = made(json!({"alg": alg, "kid": "k"}), claims());
+            assert_eq!(reason(text.as_bytes()), Some(Why::Algorithm), "{alg}");
+        }
+    }
+
+    #[test]
+    fn a_head_that_says_how_to_check_itself_is_refused() {
+        for (field, value) in [
+            ("crit", json!(["exp"])),
+            ("jwk", json!({"kty": "OKP"})),
+            ("jku", json!("http://localhost/")),
+            ("x5c", json!([])),
+            ("b64", json!(false)),
+            ("typ", json!("keys+jws")),
+            ("kid", json!("")),
+            ("kid", json!(5)),
+        ] {
+            let mut head = json!({"alg": "EdDSA", "kid": "k"});
+            head[field] = value;
+            assert_eq!(reason(made(head, claims()).as_bytes()), Some(Why::Malformed), "{field}");
+        }
+    }
+
+    #[test]
+    fn claims_that_are_missing_too_many_or_too_large_are_malformed() {
+        let head = || json!({"alg": "EdDSA", "kid": "k"});
+        let deep = (0..9).fold(json!(1), |inner, _| json!([inner]));
+        for (field, value) in [
+            ("iss", Value::Null),
+            ("jti", Value::Null),
+            ("tenant", json!("")),
+            ("sub", json!("x".repeat(129))),
+            ("sub", json!("a\nb")),
+            ("exp", json!("soon")),
+            ("exp", Value::Null),
+            ("roles", json!(vec!["r"; 9])),
+            ("more", deep),
+            ("more", json!("x".repeat(4000))),
+        ] {
+            let mut all = claims();
+            all[field] = value;
+            assert_eq!(reason(made(head(), all).as_bytes()), Some(Why::Malformed), "{field}");
+        }
+        let twice = r#"{"iss":"i","aud":"a","sub":"s","sub":"t","tenant":"t","roles":[],"exp":1,"jti":"1"}"#;
+        let text = crate::mint::sign_bytes(&Secret::from_seed([7; 32], "k"), &head(), twice.as_bytes());
+        assert_eq!(reason(text.as_bytes()), Some(Why::Malformed), "a claim that comes twice");
+    }
+
+    #[test]
+    fn other_forms_are_malformed() {
+        let text = made(json!({"alg": "EdDSA", "kid": "k"}), claims());
+        for bad in [
+            String::new(),
+            format!("{text}."),
+            format!(".{text}"),
+            format!("{text}="),
+            format!("{text} "),
+            text.replacen('.', "", 1),
+            format!("{{\"payload\":\"x\",\"signatures\":[{{\"signature\":\"{text}\"}}]}}"),
+        ] {
+            assert_eq!(reason(bad.as_bytes()), Some(Why::Malformed), "{bad}");
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn arbitrary_bytes_never_panic_and_never_pass(bytes: Vec<u8>, at: prop::sample::Index, bit in 0u8..8) {
+            let key = Secret::from_seed([7; 32], "k").public();
+            if let Ok(token) = read(&bytes) {
+                prop_assert!(!token.signed_by(&key));
+            }
+            let mut text = made(json!({"alg": "EdDSA", "kid": "k"}), claims()).into_bytes();
+            let at = at.index(text.len());
+            text[at] ^= 1 << bit;
+            if let Ok(token) = read(&text) {
+                prop_assert!(!token.signed_by(&key), "one bit at {at}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/asterdale-identity/src/verdict.rs
@@ -0,0 +1,347 @@
+//! The two gates, put together: who is calling, and whether the caller may have this task.
+
+use std::sync::Arc;
+
+use ed25519_dalek::VerifyingKey;
+
+use crate::budget::Budget;
+use crate::cache::{Digests, Proven, RefusedTokens};
+use crate::keyring::{Keyring, Offered, Refused};
+use crate::rights::{Denied, Rights, Role, Tenant};
+use crate::token::{self, Claims};
+
+pub use crate::rights::Seat;
+
+/// Why a caller was turned away. In the words of the log and the counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// There is no token.
+    Missing,
+    /// It can't be read, or has more or less than a token may have.
+    Malformed,
+    /// Its algorithm is not the one that is taken.
+    Algorithm,
+    /// No set has held its key.
+    KeyUnknown,
+    /// Its key does not sign yet.
+    KeyEarly,
+    /// Its key's overlap has ended.
+    KeyRetired,
+    /// Its key is revoked.
+    KeyRevoked,
+    /// Its signature is not by its key.
+    Signature,
+    /// It is not valid yet.
+    Early,
+    /// It is not valid any more.
+    Expired,
+    /// Another issuer made it.
+    Issuer,
+    /// It is meant for others.
+    Audience,
+    /// It is revoked itself.
+    TokenRevoked,
+    /// Its subject is.
+    SubjectRevoked,
+    /// Its tenant is.
+    TenantRevoked,
+    /// No tenant of this name is known here.
+    Tenant,
+    /// None of its roles is one that the tenant's people may have.
+    Role,
+    /// None of its roles may ask for this stage.
+    Stage,
+    /// It claims a larger cost than its role may.
+    Hint,
+    /// The tenant has as many tasks open in this role as it may.
+    Open,
+    /// The tenant's tasks in this role come faster than they may.
+    Rate,
+    /// There is no set of keys, or it is too old.
+    NoKeys,
+    /// Its edge node has used up the signatures that may be checked for it now.
+    Busy,
+}
+
+/// What is said to a caller that is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// 401: not known. Of the kind 'abandoned': nothing is said of whether anything ran.
+    Unknown,
+    /// 403: known, and not allowed. Likewise.
+    Forbidden,
+    /// 429: allowed, and too much for now. This try never ran.
+    Over,
+    /// 503: can't be told now. This try never ran.
+    Unable,
+}
+
+impl Why {
+    /// What is said.
+    pub fn kind(self) -> Kind {
+        use Why::*;
+        match self {
+            Tenant | Role | Stage | Hint => Kind::Forbidden,
+            Open | Rate => Kind::Over,
+            NoKeys | Busy => Kind::Unable,
+            _ => Kind::Unknown,
+        }
+    }
+
+    /// Whether the same bytes will be refused for it until the next set of keys comes, whenever they arrived.
+    /// What is over by time is not among it: a task that is read late may have come before that.
+    fn lasts(self) -> bool {
+        use Why::*;
+        matches!(
+            self,
+            Malformed
+                | Algorithm
+                | KeyRevoked
+                | Signature
+                | Issuer
+                | Audience
+                | TokenRevoked
+                | SubjectRevoked
+                | TenantRevoked
+        )
+    }
+}
+
+/// What identity is told: all of it can change while the process serves, but for the seed and the cache.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    /// For digests that nobody outside can foresee.
+    pub seed: u64,
+    /// `iss` of the tokens that are taken.
+    pub issuer: String,
+    /// `aud` of them.
+    pub audience: String,
+    /// Keys that may sign sets of keys.
+    pub roots: Vec<VerifyingKey>,
+    /// A set serves for so long after it was signed, in milliseconds; infinite for ever.
+    pub most_age_ms: f64,
+    /// How far clocks may be apart, in milliseconds.
+    pub skew_ms: f64,
+    /// How many proven tokens are remembered.
+    pub cache: usize,
+    /// Signatures a second that may be checked for one edge node.
+    pub per_edge: f64,
+    /// And for all.
+    pub in_all: f64,
+    /// The roles.
+    pub roles: Vec<Role>,
+    /// The tenants.
+    pub tenants: Vec<Tenant>,
+}
+
+/// What comes with a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The token, if there is one.
+    pub token: Option<&'a [u8]>,
+    /// The number of the edge node.
+    pub edge: u32,
+    /// When it came to the machine, by the clock of `now`: never later than now, and no earlier than what the
+    /// host itself has seen allows.
+    pub arrived_ms: f64,
+}
+
+/// Who is calling: a token that was proven.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// The tenant's number, which no other tenant has in the life of this process.
+    pub tenant: u32,
+    /// The key that signed.
+    pub key: String,
+    /// What the token says.
+    pub claims: Claims,
+}
+
+impl Caller {
+    #[cfg(test)]
+    pub(crate) fn for_tests(tenant: u32, jti: &str) -> Caller {
+        let text = |text: &str| text.to_owned();
+        let aud = token::Audience::One(text("asterdale"));
+        let (iss, sub, name, jti) = (text("i"), text("s"), tenant.to_string(), text(jti));
+        let claims =
+            Claims { iss, aud, sub, tenant: name, roles: vec![], exp: 1e9, nbf: None, iat: None, jti };
+        Caller { tenant, key: text("k"), claims }
+    }
+}
+
+/// Who is calling, and what they may.
+pub struct Identity {
+    facts: Facts,
+    ring: Keyring,
+    rights: Rights,
+    budget: Budget,
+    digests: Digests,
+    proven: Proven,
+    refused: RefusedTokens,
+    /// Signatures checked so far.
+    checked: u64,
+}
+
+/// Places for refused tokens, for each one for proven tokens: a flood has more tokens than there are customers.
+const REFUSED_FOR_EACH: usize = 2;
+
+impl Identity {
+    /// Without keys: all tasks get [`Why::NoKeys`] until a set is offered.
+    pub fn new(now: f64, facts: Facts) -> Result<Identity, String> {
+        let mut rights = Rights::default();
+        rights.told(&facts.roles, &facts.tenants)?;
+        Ok(Identity {
+            ring: Keyring::new(facts.roots.clone(), facts.most_age_ms),
+            rights,
+            budget: Budget::new(now, facts.per_edge, facts.in_all),
+            digests: Digests::new(facts.seed),
+            proven: Proven::new(facts.cache),
+            refused: RefusedTokens::new(REFUSED_FOR_EACH * facts.cache),
+            checked: 0,
+            facts,
+        })
+    }
+
+    /// The start file was read again. Keys, places and numbers of tenants stay.
+    pub fn retold(&mut self, facts: Facts) -> Result<(), String> {
+        self.rights.told(&facts.roles, &facts.tenants)?;
+        self.ring.retold(facts.roots.clone(), facts.most_age_ms);
+        self.budget.retold(facts.per_edge, facts.in_all);
+        self.refused.clear();
+        self.facts = facts;
+        Ok(())
+    }
+
+    /// Offers a set of keys. Once it is adopted, callers that are held must be looked at anew, see
+    /// [`Identity::revoked`].
+    pub fn offer(&mut self, now: f64, set: &[u8]) -> Result<Offered, Refused> {
+        let offered = self.ring.offer(now, set)?;
+        if offered == Offered::Adopted {
+            self.refused.clear();
+            let ring = &self.ring;
+            self.proven
+                .retain(|caller| ring.key(&caller.key).is_some() && ring.revoked(&caller.claims).is_ok());
+        }
+        Ok(offered)
+    }
+
+    /// The keys.
+    pub fn ring(&self) -> &Keyring {
+        &self.ring
+    }
+
+    /// What tenants have taken up.
+    pub fn rights(&self) -> &Rights {
+        &self.rights
+    }
+
+    /// Signatures checked, and proven tokens remembered.
+    pub fn cost(&self) -> (u64, usize) {
+        (self.checked, self.proven.len())
+    }
+
+    /// Who is calling. What is refused for good costs a digest and a look-up when it comes again; what is
+    /// refused otherwise costs at most one signature, within what its edge node may cost.
+    pub fn identify(&mut self, now: f64, ask: Ask<'_>) -> Result<Arc<Caller>, Denied> {
+        let text = ask.token.ok_or(Why::Missing)?;
+        let at = ask.arrived_ms.min(now);
+        if text.len() > token::MOST_TOKEN {
+            return Err(Why::Malformed.into());
+        }
+        let digest = self.digests.of(text);
+        if let Some(why) = self.refused.get(&digest) {
+            return Err(why.into());
+        }
+        let verdict = match self.proven.get(&digest) {
+            Some(caller) => {
+                let caller = caller.clone();
+                self.standing(now, at, &caller.key, &caller.claims).map(|_| caller).map_err(Denied::from)
+            }
+            None => self.prove(now, at, text, ask.edge),
+        };
+        match &verdict {
+            Ok(caller) => {
+                if self.proven.get(&digest).is_none() {
+                    self.proven.put(digest, caller.clone());
+                }
+            }
+            Err(denied) if denied.why.lasts() => self.refused.put(digest, denied.why),
+            Err(_) => {}
+        }
+        verdict
+    }
+
+    /// A token that was not proven before. All that can refuse it without its signature comes first: if it was
+    /// forged it would be refused anyway, and if not, it says the truth about itself.
+    fn prove(&mut self, now: f64, at: f64, text: &[u8], edge: u32) -> Result<Arc<Caller>, Denied> {
+        let token = token::read(text)?;
+        let tenant = self.standing(now, at, &token.head.kid, &token.claims)?;
+        let key = *self.ring.key(&token.head.kid).ok_or(Why::KeyUnknown)?;
+        self.budget.take(now, edge).map_err(|wait_ms| Denied { why: Why::Busy, wait_ms })?;
+        self.checked += 1;
+        let right = token.signed_by(&key);
+        self.budget.turned_out(now, edge, right);
+        if !right {
+            return Err(Why::Signature.into());
+        }
+        Ok(Arc::new(Caller { tenant, key: token.head.kid, claims: token.claims }))
+    }
+
+    /// Whether a token with this key and these claims passes, its signature aside; its tenant's number.
+    fn standing(&self, now: f64, at: f64, key: &str, claims: &Claims) -> Result<u32, Why> {
+        let skew = self.facts.skew_ms;
+        // Revocations hold even of a set that is too old to let anybody in.
+        match self.ring.passes(key, at, skew) {
+            Err(Why::KeyRevoked) => return Err(Why::KeyRevoked),
+            _ => self.ring.revoked(claims)?,
+        }
+        if !self.ring.serves(now) {
+            return Err(Why::NoKeys);
+        }
+        self.ring.passes(key, at, skew)?;
+        if at >= claims.exp * 1000.0 + skew {
+            return Err(Why::Expired);
+        }
+        if claims.nbf.is_some_and(|from| at < from * 1000.0 - skew) {
+            return Err(Why::Early);
+        }
+        if claims.iss != self.facts.issuer {
+            return Err(Why::Issuer);
+        }
+        if !claims.aud.holds(&self.facts.audience) {
+            return Err(Why::Audience);
+        }
+        self.rights.tenant(&claims.tenant).ok_or(Why::Tenant)
+    }
+
+    /// Whether this caller is revoked by now. What only lapses (a token, an overlap) is judged at arrival, once.
+    pub fn revoked(&self, caller: &Caller) -> Option<Why> {
+        match self.ring.phase(&caller.key, 0.0) {
+            Some(crate::keyring::Phase::Revoked) => Some(Why::KeyRevoked),
+            _ => self.ring.revoked(&caller.claims).err(),
+        }
+    }
+
+    /// Whether the caller may have this task now. `repeat` if it repeats one that is known here. A seat must be
+    /// given back by [`Identity::leave`] once the task is over; a repeat has none.
+    pub fn permit(
+        &mut self,
+        now: f64,
+        caller: &Caller,
+        stage: usize,
+        hint_ms: Option<f64>,
+        repeat: bool,
+    ) -> Result<Option<Seat>, Denied> {
+        self.rights.permit(now, caller.tenant, &caller.claims.roles, (stage, hint_ms), repeat)
+    }
+
+    /// The customer of the settings that this tenant's tasks count for.
+    pub fn customer(&self, tenant: u32) -> usize {
+        self.rights.customer(tenant)
+    }
+
+    /// A task that had a seat is over.
+    pub fn leave(&mut self, seat: Seat) {
+        self.rights.leave(seat);
+    }
+}
