--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -71,6 +71,8 @@
 pub struct Edge {
     listen: SocketAddr,
     facts: Arc<Facts>,
+    /// It matters who is calling.
+    asked_who: bool,
     host: Sender<Mail>,
     writer: Sender<Outgoing>,
     counters: Arc<Counters>,
@@ -180,6 +182,7 @@
             longest: Duration::from_millis(longest as u64),
             idle_ms: AtomicU64::new(facts.told.idle_ms as u64),
             facts,
+            asked_who: start.identity.is_some(),
             closing: AtomicBool::new(false),
             connections: Mutex::default(),
             began: Instant::now(),
@@ -466,11 +469,11 @@
 
     /// A request has come whole: a health check or a task goes to the host; `false` for what makes no sense.
     fn whole(&self, peer: &Arc<Peer>, id: u16, whole: Whole, since: Instant) -> Result<bool, Malformed> {
-        let mail = match head::read(&whole.params, &self.facts)? {
+        let mail = match head::read(&whole.params, &self.facts, self.asked_who)? {
             Head::Check { deep } => Mail::Check { client: peer.clone(), request: id, deep },
-            Head::Task(asked) => {
+            Head::Task(asked, token) => {
                 let (client, body) = (peer.clone(), whole.body);
-                Mail::Task(Box::new(Request { asked, body, client, request: id, since }))
+                Mail::Task(Box::new(Request { asked, token, body, client, request: id, since }))
             }
             Head::Senseless(field) => {
                 self.makes_no_sense(field);
@@ -515,7 +518,7 @@
             "sockets": 64}, "settings": {"extra": {"cores": 1, "memoryKb": 1}, "lanes": [{"name": "page"}]}});
         let start = crate::start::read(start.to_string().as_bytes(), None, None).unwrap();
         let ((host, mailbox), (writer, answers)) = (bounded(9), unbounded());
-        let (log, _guard) = Log::to_stderr("n");
+        let (log, _guard) = Log::to_stderr("n", false, slog::Level::Info);
         let edge = Arc::new(Edge::new(&start, host, writer, Arc::default(), log));
         let writer = edge.writer(answers);
         thread::spawn(move || writer.serve());
--- a/crates/asterdale-daemon/src/head.rs
+++ b/crates/asterdale-daemon/src/head.rs
@@ -13,21 +13,28 @@
         /// It asks whether work gets done.
         deep: bool,
     },
-    /// A task.
-    Task(Asked),
+    /// A task, and what it says of who is calling.
+    Task(Asked, Option<Box<[u8]>>),
     /// This field is missing, or makes no sense.
     Senseless(&'static str),
 }
 
+/// The token in `Authorization: Bearer TOKEN` (RFC 6750); of any other scheme, the whole, which is none.
+fn bearer(value: &[u8]) -> Box<[u8]> {
+    let scheme = value.get(..7).filter(|scheme| scheme.eq_ignore_ascii_case(b"Bearer "));
+    scheme.map_or(value, |_| value[7..].trim_ascii()).into()
+}
+
 fn number(value: Option<&[u8]>) -> Option<f64> {
     let text = std::str::from_utf8(value?).ok()?;
     text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
 /// Reads the head of a request. Parameters that are not known here are passed over.
-pub fn read(params: &[u8], facts: &Facts) -> Result<Head, Malformed> {
+/// `asked_who` says whether it matters who is calling.
+pub fn read(params: &[u8], facts: &Facts, asked_who: bool) -> Result<Head, Malformed> {
     let [mut method, mut path, mut query, mut id, mut start] = [None; 5];
-    let [mut caller, mut timeout, mut cost, mut memory, mut key, mut object] = [None; 6];
+    let [mut caller, mut timeout, mut cost, mut memory, mut key, mut object, mut token] = [None; 7];
     for pair in Params(params) {
         let (name, value) = pair?;
         let field = match name {
@@ -42,6 +49,7 @@
             b"HTTP_X_MEMORY_KB" => &mut memory,
             b"HTTP_IDEMPOTENCY_KEY" => &mut key,
             b"HTTP_X_OBJECT" => &mut object,
+            b"HTTP_AUTHORIZATION" if asked_who => &mut token,
             _ => continue,
         };
         *field = Some(value);
@@ -52,7 +60,7 @@
         return Ok(Head::Check { deep });
     }
     Ok(task(method, path, id, [start, caller, timeout, cost, memory], key, object, facts)
-        .map_or_else(Head::Senseless, Head::Task))
+        .map_or_else(Head::Senseless, |asked| Head::Task(asked, token.map(bearer))))
 }
 
 fn task(
@@ -78,7 +86,7 @@
         (_, value) => Ok(value),
     };
     let told = &facts.told.stages[stage];
-    let sign = |text: &[u8]| Mark { stage, text: text.into() };
+    let sign = |text: &[u8]| Mark { stage, tenant: 0, text: text.into() };
     Ok(Asked {
         id,
         stage,
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -1,26 +1,36 @@
 //! The asterdale backend: one process that serves tasks on real sockets, with asterdale's decisions.
 
+#[cfg(feature = "tools")]
+mod cli;
 mod edge;
 mod head;
+#[cfg(feature = "tools")]
+mod keys;
 mod peer;
 mod start;
+#[cfg(feature = "tools")]
+mod token;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
 
 use asterdale_host::counters::Counters;
-use asterdale_host::host::Begin;
+use asterdale_host::host::{unix_ms, Begin};
+use asterdale_host::issuer::{self, Nudge};
 use asterdale_host::log::{Kind, Log};
 use asterdale_host::mail::Mail;
 use asterdale_host::records::Records;
 use asterdale_host::{registry, runtime, Around, Host};
+use asterdale_identity::Identity;
 use crossbeam_channel::{bounded, unbounded, Sender};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 use edge::Edge;
-use start::Start;
+use start::faults::Fault;
+use start::{Source, Start};
 
 /// Mail that waits for the host. Whoever sends more waits: a connection's reader reads no further.
 const WAITING: usize = 4096;
@@ -34,14 +44,44 @@
     thread.spawn(work).map(drop).map_err(|e| format!("no thread for {name}: {e}"))
 }
 
+/// What has to hear of a start file that is read again, but for the host.
+struct Rereading {
+    file: Option<PathBuf>,
+    issuer: Option<Sender<Nudge>>,
+}
+
+impl Rereading {
+    /// Reads it, and hands on what can change while the program serves.
+    fn read(&self, host: &Sender<Mail>) -> Result<bool, String> {
+        let start = told(self.file.as_deref()).map_err(|faults| {
+            let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            all.join("; ")
+        })?;
+        let keys = start.identity.as_ref().map(|identity| identity.keys.clone());
+        let facts = start.identity.map(|identity| Box::new(identity.facts));
+        let mut sent = host.send(Mail::Retold(start.peers, facts)).is_ok();
+        match (keys, &self.issuer) {
+            (Some(Source::Issuer(place)), Some(issuer)) => drop(issuer.try_send(Nudge::Move(place))),
+            (Some(source), _) => {
+                if let Some(set) = source.read() {
+                    sent &= host.send(Mail::Keys(set?)).is_ok();
+                }
+            }
+            _ => {}
+        }
+        Ok(sent)
+    }
+}
+
 /// Signals become mail. SIGHUP reads the start file again; one that can't be read changes nothing.
-fn signals(mut signals: Signals, host: &Sender<Mail>, counters: &Counters, log: &Log) {
+fn signals(mut signals: Signals, host: &Sender<Mail>, again: &Rereading, counters: &Counters, log: &Log) {
     static UNREADABLE: Kind = Kind::new();
     for signal in signals.forever() {
         let mail = match signal {
             SIGUSR1 => Mail::Report,
-            SIGHUP => match start::from_environment() {
-                Ok(start) => Mail::Moved(start.peers),
+            SIGHUP => match again.read(host) {
+                Ok(true) => continue,
+                Ok(false) => return,
                 Err(what) => {
                     counters.reloads_failed.add();
                     if log.may(&UNREADABLE) {
@@ -58,17 +98,21 @@
     }
 }
 
-fn serve(start: Start, log: &Log) -> Result<(), String> {
+fn assemble(start: Start, file: Option<PathBuf>, log: &Log) -> Result<(), String> {
     let (mail, mailbox) = bounded(WAITING);
     let (list, for_list) = bounded(WORDS);
     let (moves, moved) = bounded(WORDS);
     let (out, answers) = unbounded();
     let counters = Arc::new(Counters::default());
     let edge = Arc::new(Edge::new(&start, mail.clone(), out, counters.clone(), log.clone()));
-    let listener = edge.bind().map_err(|e| format!("listen: {}: {e}", start.listen))?;
+    // Before anybody can see that the program is there: a signal that comes sooner would end it.
     let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let listener = edge.bind().map_err(|e| format!("listen: {}: {e}", start.listen))?;
+    let (identity, issuer) = callers(&start, &mail, &counters, log)?;
+    let nudges = issuer.clone();
     let (host, counted, lines) = (mail.clone(), counters.clone(), log.clone());
-    spawn("signals", move || signals(caught, &host, &counted, &lines))?;
+    let again = Rereading { file, issuer };
+    spawn("signals", move || signals(caught, &host, &again, &counted, &lines))?;
     let (host, counted, lines, at) = (mail.clone(), counters.clone(), log.clone(), start.peers.runtime);
     spawn("runtime", move || runtime::link(at, &moved, &host, &counted, &lines))?;
     let (counted, lines, name, at) =
@@ -81,15 +125,40 @@
     let listening = edge.clone();
     spawn("listener", move || listening.accept(&listener))?;
     let records = Records::new(start.peers.records, mail, counters.clone());
-    let around = Around { records, fronts: edge, list, moves, counters, log: log.clone() };
+    let around = Around { records, fronts: edge, list, moves, issuer: nudges, counters, log: log.clone() };
     let Start { facts, memory, stop_ms, peers, .. } = start;
-    let mut host = Host::new(Begin { facts, memory, stop_ms, peers }, around);
+    let mut host = Host::new(Begin { facts, memory, stop_ms, peers, identity }, around);
     slog::info!(log.lines, "host: serving"; "at" => %start.listen);
     host.serve(&mailbox);
     host.report();
     Ok(())
 }
 
+/// Where callers must be known: what holds of them. The first set of keys, or the actor that fetches it, is on
+/// its way to the host.
+fn callers(
+    start: &Start,
+    mail: &Sender<Mail>,
+    counters: &Arc<Counters>,
+    log: &Log,
+) -> Result<(Option<Identity>, Option<Sender<Nudge>>), String> {
+    let Some(identity) = &start.identity else { return Ok((None, None)) };
+    let seed = identity.facts.seed;
+    let gate = Identity::new(unix_ms(), identity.facts.clone()).map_err(|e| format!("identity: {e}"))?;
+    if let Source::Issuer(place) = &identity.keys {
+        let (nudges, nudged) = bounded(WORDS);
+        let (host, counted, lines, place) = (mail.clone(), counters.clone(), log.clone(), place.clone());
+        spawn("issuer", move || issuer::fetch(place, seed, &nudged, &host, &counted, &lines))?;
+        return Ok((Some(gate), Some(nudges)));
+    }
+    match identity.keys.read() {
+        Some(Ok(set)) => drop(mail.send(Mail::Keys(set))),
+        Some(Err(why)) => slog::error!(log.lines, "identity: no set of keys"; "why" => why),
+        None => {}
+    }
+    Ok((Some(gate), None))
+}
+
 /// A panic anywhere ends the program: half of it would answer for work that nobody does any more.
 fn end_on_panic() {
     let usual = std::panic::take_hook();
@@ -99,17 +168,35 @@
     }));
 }
 
-fn main() -> ExitCode {
+fn told(file: Option<&Path>) -> Result<Start, Vec<Fault>> {
+    file.map_or_else(start::from_environment, start::from_file)
+}
+
+/// How to serve.
+#[derive(Default)]
+struct How {
+    /// The start file; the variable names it if absent.
+    file: Option<PathBuf>,
+    /// Lines of the log are JSON objects.
+    json: bool,
+    /// The least weighty lines that are written.
+    level: Option<slog::Level>,
+}
+
+/// Tells what is wrong, a line each.
+fn tell(faults: &[Fault]) -> ExitCode {
+    faults.iter().for_each(|fault| eprintln!("asterdale: {fault}"));
+    ExitCode::from(2)
+}
+
+fn serve(how: How) -> ExitCode {
     end_on_panic();
-    let start = match start::from_environment() {
+    let start = match told(how.file.as_deref()) {
         Ok(start) => start,
-        Err(what) => {
-            eprintln!("asterdale: {what}");
-            return ExitCode::from(2);
-        }
+        Err(faults) => return tell(&faults),
     };
-    let (log, guard) = Log::to_stderr(&start.name);
-    let served = serve(start, &log);
+    let (log, guard) = Log::to_stderr(&start.name, how.json, how.level.unwrap_or(slog::Level::Info));
+    let served = assemble(start, how.file, &log);
     if let Err(what) = &served {
         slog::crit!(log.lines, "host: can't serve"; "why" => what);
     }
@@ -121,3 +208,14 @@
         ExitCode::FAILURE
     }
 }
+
+fn main() -> ExitCode {
+    #[cfg(feature = "planted")]
+    if let Ok(name) = std::env::var("ASTERDALE_PLANT") {
+        assert!(asterdale_identity::planted::plant(&name), "no fault {name} can be planted");
+    }
+    #[cfg(feature = "tools")]
+    return cli::run();
+    #[cfg(not(feature = "tools"))]
+    serve(How::default())
+}
--- a/crates/asterdale-daemon/src/peer.rs
+++ b/crates/asterdale-daemon/src/peer.rs
@@ -13,6 +13,7 @@
 use asterdale_fastcgi::{ended, refusal, Answer};
 use asterdale_host::gather;
 use asterdale_host::mail::{Client, Mail, Reply};
+use asterdale_identity::Kind;
 use crossbeam_channel::{unbounded, Receiver, Sender};
 
 /// Answers that one round of the writer takes at most.
@@ -141,6 +142,20 @@
         Reply::Left => plain("Status: 499\r\n\r\n"),
         Reply::Checked(true) => plain("Status: 200\r\n\r\n"),
         Reply::Checked(false) => plain("Status: 503\r\n\r\n"),
+        Reply::Denied { kind, wait_ms } => {
+            // The field tells an edge node, and whoever looks for a cause, these from what the decisions say.
+            let mut head = String::from(match kind {
+                Kind::Unknown => "Status: 401\r\nWWW-Authenticate: Bearer\r\nX-Denied: unknown\r\n",
+                Kind::Forbidden => "Status: 403\r\nX-Denied: forbidden\r\n",
+                Kind::Over => "Status: 429\r\nX-Denied: over\r\n",
+                Kind::Unable => "Status: 503\r\nX-Denied: unable\r\n",
+            });
+            if wait_ms >= 1 {
+                head.push_str(&format!("Retry-After-Ms: {wait_ms}\r\n"));
+            }
+            head.push_str("Content-Type: text/plain\r\n\r\n");
+            plain(&head)
+        }
     }
 }
 
--- /dev/null
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -0,0 +1,436 @@
+//! What the program is told at its start: the variable that names the file, and what the file holds.
+
+pub mod faults;
+pub mod file;
+
+use std::collections::HashSet;
+use std::io::Read as _;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use asterdale_facts::Facts;
+use asterdale_host::issuer::Place;
+use asterdale_host::mail::Peers;
+use asterdale_identity::keyring::{public_key, MOST_SET};
+use asterdale_identity::rights::{Role, Tenant, MOST_NAMED_ROLES, MOST_TENANTS};
+use asterdale_identity::Facts as IdentityFacts;
+use serde_json::Value;
+
+use faults::{Fault, Faults};
+use file::{Address, Callers, File, Positive};
+
+/// Everything from the file.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The backend's name.
+    pub name: String,
+    /// Where edge nodes connect.
+    pub listen: SocketAddr,
+    /// Where the peers listen.
+    pub peers: Peers,
+    /// From the notice to leave until the process is killed, in milliseconds.
+    pub stop_ms: f64,
+    /// Memory of this process, in bytes.
+    pub memory: usize,
+    /// Descriptors of this process.
+    pub descriptors: usize,
+    /// What the decisions are told.
+    pub facts: Arc<Facts>,
+    /// Who may call; `None` where nobody is asked.
+    pub identity: Option<Identity>,
+}
+
+/// Who may call, and where the keys come from.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// What holds of callers.
+    pub facts: IdentityFacts,
+    /// Where sets of keys come from.
+    pub keys: Source,
+}
+
+/// Where sets of keys come from.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// A file, by its path.
+    File(String),
+    /// An issuer.
+    Issuer(Place),
+}
+
+impl Source {
+    /// The set in the file, if it is one.
+    pub fn read(&self) -> Option<Result<Vec<u8>, String>> {
+        let Source::File(path) = self else { return None };
+        // One byte more than may be shows that it is too long, whatever is behind the path.
+        let mut text = Vec::new();
+        let read = std::fs::File::open(path)
+            .and_then(|file| file.take(MOST_SET as u64 + 1).read_to_end(&mut text))
+            .map_err(|e| format!("{path}: {e}"));
+        Some(read.map(|_| text.trim_ascii().to_vec()))
+    }
+}
+
+/// A fault of what comes from outside of the file.
+fn outside(name: &str, what: String) -> Vec<Fault> {
+    vec![Fault { path: name.to_owned(), what }]
+}
+
+/// A variable that says something.
+pub fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+/// Reads the file that `ROUTER_CONFIG` names. Errors name the field.
+pub fn from_environment() -> Result<Start, Vec<Fault>> {
+    let path = variable("ROUTER_CONFIG").ok_or_else(|| outside("ROUTER_CONFIG", "is not set".to_owned()))?;
+    from(Path::new(&path), "ROUTER_CONFIG")
+}
+
+/// Reads this file.
+pub fn from_file(path: &Path) -> Result<Start, Vec<Fault>> {
+    from(path, "start file")
+}
+
+fn from(path: &Path, called: &str) -> Result<Start, Vec<Fault>> {
+    let text = std::fs::read(path).map_err(|e| outside(called, format!("{}: {e}", path.display())))?;
+    read(&text, variable("ROUTER_NAME"), variable("ROUTER_LISTEN"))
+}
+
+/// Reads the text of the file. Name and address that are given from outside come before the file's. All that
+/// is wrong comes back at once.
+pub fn read(text: &[u8], name: Option<String>, listen: Option<String>) -> Result<Start, Vec<Fault>> {
+    let all: Value = serde_json::from_slice(text).map_err(|e| outside("start file", e.to_string()))?;
+    let mut faults = Faults::default();
+    let file: File = faults.read(all.clone());
+    let address = |faults: &mut Faults, path, found: Option<Address>| {
+        faults.wanted(path, found).map_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)), |found| found.0)
+    };
+    let peers = Peers {
+        runtime: address(&mut faults, "runtime", file.runtime),
+        registry: address(&mut faults, "registry", file.registry),
+        records: address(&mut faults, "records", file.records),
+    };
+    let listen = match listen.map(|text| (text.parse(), text)) {
+        Some((Ok(at), _)) => at,
+        Some((Err(_), text)) => {
+            faults.add("ROUTER_LISTEN", format!("{text:?} is no address with a port"));
+            peers.runtime
+        }
+        None => address(&mut faults, "listen", file.listen),
+    };
+    let name = name.or_else(|| faults.wanted("name", file.name.clone())).unwrap_or_default();
+    let seed = faults.wanted("seed", file.seed).map_or(0, |seed| seed.0);
+    let number = |faults: &mut Faults, path, found: Option<Positive>| {
+        faults.wanted(path, found).map_or(1.0, |found| found.0)
+    };
+    let stop_ms = number(&mut faults, "stop_ms", file.stop_ms);
+    let limits = faults.wanted("limits", file.limits.clone());
+    let (mut memory, mut descriptors) = (0.0, 0.0);
+    if let Some(limits) = limits {
+        memory = number(&mut faults, "limits.memory_mb", limits.memory_mb) * 1e6;
+        descriptors = number(&mut faults, "limits.sockets", limits.sockets);
+    }
+    told(&mut faults, &file);
+    let facts = asterdale_facts::from_json(seed, &all["settings"]);
+    let identity = file.identity.and_then(|callers| identity(&mut faults, callers, seed, &facts));
+    if !faults.0.is_empty() {
+        return Err(faults.0);
+    }
+    let (memory, descriptors) = (memory as usize, descriptors as usize);
+    Ok(Start { name, listen, peers, stop_ms, memory, descriptors, facts: Arc::new(facts), identity })
+}
+
+/// What the decisions are told must name its stages and the machine; the rest may be zero.
+fn told(faults: &mut Faults, file: &File) {
+    let Some(told) = faults.wanted("settings", file.settings.as_ref()) else { return };
+    if let Some(extra) = faults.wanted("settings.extra", told.extra.as_ref()) {
+        faults.wanted("settings.extra.cores", extra.cores);
+        faults.wanted("settings.extra.memoryKb", extra.memory_kb);
+    }
+    let Some(lanes) = faults.wanted("settings.lanes", told.lanes.as_ref()) else { return };
+    if lanes.is_empty() {
+        faults.add("settings.lanes", "at least one is wanted");
+    }
+    for (n, lane) in lanes.iter().enumerate() {
+        let path = format!("settings.lanes[{n}].name");
+        if faults.wanted(&path, lane.name.as_ref()).is_some_and(String::is_empty) {
+            faults.add(path, "is empty");
+        }
+    }
+}
+
+/// Names that are there, not empty, and each only once.
+fn names<'a>(
+    faults: &mut Faults,
+    path: &str,
+    all: impl Iterator<Item = Option<&'a String>>,
+) -> HashSet<String> {
+    let mut names = HashSet::new();
+    for (n, name) in all.enumerate() {
+        let path = format!("{path}[{n}].name");
+        let Some(name) = faults.wanted(&path, name) else { continue };
+        if name.is_empty() {
+            faults.add(path, "is empty");
+        } else if !names.insert(name.clone()) {
+            faults.add(path, format!("{name:?} comes twice"));
+        }
+    }
+    names
+}
+
+fn identity(faults: &mut Faults, callers: Callers, seed: u64, told: &Facts) -> Option<Identity> {
+    let text = |faults: &mut Faults, path, found: Option<String>| {
+        let found = faults.wanted(path, found).unwrap_or_default();
+        if found.is_empty() && !faults.0.iter().any(|fault| fault.path == path) {
+            faults.add(path, "is empty");
+        }
+        found
+    };
+    let issuer = text(faults, "identity.issuer", callers.issuer);
+    let audience = text(faults, "identity.audience", callers.audience);
+    let mut roots = Vec::new();
+    let given = faults.wanted("identity.roots", callers.roots).unwrap_or_default();
+    if given.is_empty() {
+        faults.add("identity.roots", "at least one is wanted");
+    }
+    for (n, root) in given.iter().enumerate() {
+        match public_key(root) {
+            Some(root) => roots.push(root),
+            None => faults.add(format!("identity.roots[{n}]"), "is no public key: 32 bytes in base64url"),
+        }
+    }
+    let skew_ms = callers.skew_ms.unwrap_or(500.0);
+    if !(0.0..=300_000.0).contains(&skew_ms) {
+        faults.add("identity.skew_ms", "from 0 to 300000 is wanted");
+    }
+    let roles = roles(faults, callers.roles, told);
+    let known: HashSet<&str> = roles.iter().map(|role| role.name.as_str()).collect();
+    let tenants = tenants(faults, callers.tenants, &known, told);
+    let keys = faults.wanted("identity.keys", callers.keys)?;
+    let keys = match (keys.file, keys.fetch) {
+        (Some(path), None) => Source::File(path),
+        (None, Some(fetch)) => {
+            let at = faults.wanted("identity.keys.fetch.at", fetch.at)?.0;
+            let path = faults.wanted("identity.keys.fetch.path", fetch.path)?;
+            let plain = path.bytes().all(|byte| byte.is_ascii_graphic());
+            if !path.starts_with('/') || !plain || path.len() > 1024 {
+                faults.add("identity.keys.fetch.path", "a path that begins with / is wanted");
+            }
+            Source::Issuer(Place { at, path, every_ms: fetch.every_ms.map_or(30_000.0, |ms| ms.0) })
+        }
+        _ => {
+            faults.add("identity.keys", "one of file and fetch is wanted");
+            return None;
+        }
+    };
+    let facts = IdentityFacts {
+        seed,
+        issuer,
+        audience,
+        roots,
+        most_age_ms: callers.max_age_ms.map_or(f64::INFINITY, |ms| ms.0),
+        skew_ms,
+        cache: callers.cache.unwrap_or(2048).clamp(1, 65_536) as usize,
+        per_edge: callers.signatures_per_edge.map_or(50.0, |n| n.0),
+        in_all: callers.signatures.map_or(400.0, |n| n.0),
+        roles,
+        tenants,
+    };
+    Some(Identity { facts, keys })
+}
+
+fn roles(faults: &mut Faults, given: Option<Vec<file::Role>>, told: &Facts) -> Vec<Role> {
+    let given = faults.wanted("identity.roles", given).unwrap_or_default();
+    names(faults, "identity.roles", given.iter().map(|role| role.name.as_ref()));
+    if given.len() > MOST_NAMED_ROLES {
+        faults.add("identity.roles", format!("no more than {MOST_NAMED_ROLES} are taken"));
+    }
+    let role = |(n, role): (usize, file::Role)| {
+        let path = format!("identity.roles[{n}].stages");
+        let mut stages = Vec::new();
+        for (m, name) in faults.wanted(&path, role.stages).unwrap_or_default().iter().enumerate() {
+            match told.stages.iter().position(|stage| stage == name) {
+                Some(stage) => stages.push(stage),
+                None => faults.add(format!("{path}[{m}]"), format!("{name:?} is no name in settings.lanes")),
+            }
+        }
+        // Without a rate the bucket never empties.
+        let per_s = role.per_s.map_or(f64::INFINITY, |n| n.0);
+        Role {
+            name: role.name.unwrap_or_default(),
+            stages,
+            open: role.open.unwrap_or(256) as usize,
+            per_s,
+            burst: role.burst.map_or((2.0 * per_s).max(1.0), |n| n.0.max(1.0)),
+            hint_ms: role.max_cost_ms.map_or(f64::INFINITY, |ms| ms.0),
+        }
+    };
+    given.into_iter().enumerate().map(role).collect()
+}
+
+fn tenants(
+    faults: &mut Faults,
+    given: Option<Vec<file::Tenant>>,
+    roles: &HashSet<&str>,
+    told: &Facts,
+) -> Vec<Tenant> {
+    let given = faults.wanted("identity.tenants", given).unwrap_or_default();
+    names(faults, "identity.tenants", given.iter().map(|tenant| tenant.name.as_ref()));
+    if given.len() > MOST_TENANTS {
+        faults.add("identity.tenants", format!("no more than {MOST_TENANTS} are taken"));
+    }
+    let customers = told.told.customers.len();
+    let tenant = |(n, tenant): (usize, file::Tenant)| {
+        let path = format!("identity.tenants[{n}]");
+        let customer = tenant.customer.unwrap_or(0) as usize;
+        if tenant.customer.is_some() && customer >= customers {
+            let what = format!("{customer} is no position in settings.tenants, which has {customers}");
+            faults.add(format!("{path}.customer"), what);
+        }
+        let may = faults.wanted(&format!("{path}.roles"), tenant.roles).unwrap_or_default();
+        for (m, role) in may.iter().enumerate().filter(|(_, role)| !roles.contains(role.as_str())) {
+            faults.add(format!("{path}.roles[{m}]"), format!("{role:?} is no name in identity.roles"));
+        }
+        Tenant { name: tenant.name.unwrap_or_default(), customer, roles: may }
+    };
+    given.into_iter().enumerate().map(tenant).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn whole() -> Value {
+        json!({"name": "n3", "listen": "127.0.0.1:8080", "runtime": "127.0.0.2:1", "registry": "127.0.0.3:1",
+            "records": "127.0.0.4:1", "seed": "8c1f30d27a5be964", "stop_ms": 3200,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": {"extra": {"cores": 6, "memoryKb": 9e4}, "lanes": [{"name": "bid"}],
+                "tenants": [{}, {}]}})
+    }
+
+    fn with_callers() -> Value {
+        let mut all = whole();
+        let root = asterdale_identity::mint::Secret::from_seed([1; 32], "r").public_text();
+        all["identity"] = json!({"issuer": "i", "audience": "a", "roots": [root], "keys": {"file": "/k"},
+            "roles": [{"name": "phone", "stages": ["bid"]}],
+            "tenants": [{"name": "t", "customer": 1, "roles": ["phone"]}]});
+        all
+    }
+
+    fn paths(all: &Value) -> Vec<String> {
+        read(all.to_string().as_bytes(), None, None)
+            .unwrap_err()
+            .into_iter()
+            .map(|fault| fault.path)
+            .collect()
+    }
+
+    #[test]
+    fn variables_come_before_the_file() {
+        let text = whole().to_string();
+        let start = read(text.as_bytes(), Some("n9".into()), Some("127.0.0.9:9".into())).unwrap();
+        assert_eq!((start.name.as_str(), start.listen.to_string().as_str()), ("n9", "127.0.0.9:9"));
+        assert_eq!(read(text.as_bytes(), None, None).unwrap().listen.port(), 8080);
+        assert_eq!(start.facts.told.seed, 0x8c1f_30d2_7a5b_e964);
+        assert!(start.identity.is_none());
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_by_its_path() {
+        for (field, value, path) in [
+            ("runtime", json!("nowhere"), "runtime"),
+            ("records", json!(5), "records"),
+            ("seed", json!("xyz"), "seed"),
+            ("stop_ms", json!(-1), "stop_ms"),
+            ("limits", json!({"memory_mb": 192}), "limits.sockets"),
+            ("settings", json!([]), "settings.lanes"),
+            ("settings", json!({"extra": {"cores": 1, "memoryKb": 1}, "lanes": []}), "settings.lanes"),
+            (
+                "settings",
+                json!({"extra": {"cores": 1, "memoryKb": 1}, "lanes": [{}]}),
+                "settings.lanes[0].name",
+            ),
+            (
+                "settings",
+                json!({"extra": {"cores": 0, "memoryKb": 1}, "lanes": [{"name": "a"}]}),
+                "settings.extra.cores",
+            ),
+        ] {
+            let mut all = whole();
+            all[field] = value.clone();
+            assert!(paths(&all).contains(&path.to_owned()), "{path} of {value}: {:?}", paths(&all));
+        }
+        let broken = read(b"{", None, None).unwrap_err();
+        assert_eq!(broken[0].path, "start file");
+    }
+
+    #[test]
+    fn all_faults_are_told_at_once_and_unknown_keys_only_where_they_are_ours() {
+        let mut all = with_callers();
+        all["new"] = json!(1);
+        all["settings"]["extra"]["new"] = json!({"a": []});
+        assert!(read(all.to_string().as_bytes(), None, None).is_ok());
+        all["registry"] = Value::Null;
+        all["stop_ms"] = json!("soon");
+        all["settings"]["lanes"] = json!([{"name": "bid", "worth": "much"}, {"name": 5}]);
+        all["identity"]["new"] = json!(1);
+        all["identity"]["roots"] = json!(["short"]);
+        all["identity"]["keys"] = json!({"file": "/k", "fetch": {"at": "127.0.0.1:1", "path": "/"}});
+        all["identity"]["roles"][0]["stages"] = json!(["page"]);
+        all["identity"]["tenants"] = json!([{"name": "t", "customer": 2, "roles": ["clerk"]},
+            {"name": "t", "roles": []}]);
+        let found = paths(&all);
+        for path in [
+            "registry",
+            "stop_ms",
+            "settings.lanes[0].worth",
+            "settings.lanes[1].name",
+            "identity.new",
+            "identity.roots[0]",
+            "identity.keys",
+            "identity.roles[0].stages[0]",
+            "identity.tenants[0].customer",
+            "identity.tenants[0].roles[0]",
+            "identity.tenants[1].name",
+        ] {
+            assert!(found.contains(&path.to_owned()), "{path} is not in {found:?}");
+        }
+        assert_eq!(found.len(), 11, "{found:?}");
+    }
+
+    #[test]
+    fn who_may_call_is_read_with_its_usual_figures() {
+        let start = read(with_callers().to_string().as_bytes(), None, None).unwrap();
+        let Identity { facts, keys } = start.identity.unwrap();
+        assert_eq!((facts.skew_ms, facts.cache, facts.per_edge, facts.in_all), (500.0, 2048, 50.0, 400.0));
+        assert_eq!((facts.roles[0].stages.as_slice(), facts.tenants[0].customer), (&[0][..], 1));
+        assert!(matches!(keys, Source::File(path) if path == "/k"));
+    }
+
+    #[cfg(feature = "tools")]
+    #[test]
+    fn the_schema_in_the_docs_is_the_one_of_the_types() {
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/start.schema.json");
+        let kept = std::fs::read_to_string(path).unwrap();
+        let made = crate::cli::schema();
+        assert_eq!(
+            kept.trim_end(),
+            made.trim_end(),
+            "write it anew: asterdale schema > docs/start.schema.json"
+        );
+    }
+
+    #[test]
+    fn the_start_files_in_the_repository_can_be_read() {
+        for file in std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy")).unwrap() {
+            let path = file.unwrap().path();
+            if path.extension().is_some_and(|kind| kind == "json") {
+                let text = std::fs::read(&path).unwrap();
+                assert_eq!(read(&text, None, None).map(drop), Ok(()), "{}", path.display());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/asterdale-daemon/tests/identity.rs
@@ -0,0 +1,362 @@
+//! Who is calling, on real sockets: every row of the table of answers in `docs/identity.md`.
+
+use asterdale_identity::mint::{sign, Secret};
+use asterdale_rig::issuer::{Issuer, Mood};
+use asterdale_rig::scripted::{until, Answered, Backend, Edge};
+use asterdale_rig::unix_ms;
+use serde_json::{json, Value};
+
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+const C: &str = "00000000000000cc";
+const D: &str = "00000000000000dd";
+const KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+
+fn key(n: u8) -> Secret {
+    Secret::from_seed([n; 32], &format!("k{n}"))
+}
+
+fn root() -> Secret {
+    Secret::from_seed([99; 32], "root")
+}
+
+/// A set with keys 1 to 4 (outgoing, active, announced, retired), and what is revoked.
+fn set(seq: u64, revoked: Value) -> String {
+    let now = unix_ms();
+    let jwk = |n: u8, from: f64, until: Option<f64>| {
+        let mut jwk = json!({"kty": "OKP", "crv": "Ed25519", "kid": format!("k{n}"),
+            "x": key(n).public_text(), "from_ms": from});
+        if let Some(until) = until {
+            jwk["until_ms"] = json!(until);
+        }
+        jwk
+    };
+    let keys = [
+        jwk(1, 0.0, Some(now + 3.6e6)),
+        jwk(2, now - 3.6e6, None),
+        jwk(3, now + 3.6e6, None),
+        jwk(4, 0.0, Some(now - 3.6e6)),
+    ];
+    let set = json!({"seq": seq, "issued_ms": now, "keys": keys, "revoked": revoked});
+    sign(&root(), &json!({"alg": "EdDSA", "kid": "root", "typ": asterdale_identity::keyring::TYPE}), &set)
+}
+
+/// A token of a phone bidder of this tenant, by this key; changed before it is signed.
+fn token(n: u8, tenant: &str, change: impl FnOnce(&mut Value)) -> String {
+    let exp = unix_ms() / 1e3 + 3600.0;
+    let mut claims = json!({"iss": "office", "aud": "asterdale", "sub": "ann", "tenant": tenant,
+        "roles": ["phone"], "exp": exp, "jti": format!("{tenant}-{n}")});
+    change(&mut claims);
+    format!("Bearer {}", sign(&key(n), &json!({"alg": "EdDSA", "kid": format!("k{n}")}), &claims))
+}
+
+fn usual(n: u8, tenant: &str) -> String {
+    token(n, tenant, |_| ())
+}
+
+/// A backend that asks who is calling, whose keys come from this issuer; not up yet where `change` says so.
+fn backend(issuer: &Issuer, change: impl FnOnce(&mut Value)) -> Backend {
+    let backend = Backend::start_before_runtime(|config| {
+        config["settings"]["tenants"] = json!([{}, {}]);
+        config["identity"] = json!({
+            "issuer": "office", "audience": "asterdale", "roots": [root().public_text()],
+            "keys": {"fetch": {"at": issuer.at, "path": "/keys", "every_ms": 50}}, "skew_ms": 100,
+            "roles": [{"name": "phone", "stages": ["bid", "page"]},
+                {"name": "clerk", "stages": ["page"], "max_cost_ms": 20, "open": 1, "per_s": 0.001, "burst": 2}],
+            "tenants": [{"name": "north", "customer": 0, "roles": ["phone", "clerk"]},
+                {"name": "south", "customer": 1, "roles": ["phone"]}]});
+        change(config);
+    });
+    drop(backend.connect()); // it listens: from here on signals are heard
+    backend
+}
+
+fn serving() -> (Issuer, Backend) {
+    let issuer = Issuer::start().unwrap();
+    issuer.publish(1, set(1, json!({"tokens": ["gone"]})));
+    let backend = backend(&issuer, |_| ());
+    backend.runtime.up();
+    backend.counters_until(|count| count("keys_adopted") == 1 && count("links") == 1);
+    (issuer, backend)
+}
+
+fn ask(edge: &mut Edge, number: u16, stage: &str, id: &str, other: &[(&str, &str)]) -> Answered {
+    edge.task(number, stage, id, other);
+    edge.answer().expect("the connection ended")
+}
+
+fn by(token: &str) -> (&str, &str) {
+    ("HTTP_AUTHORIZATION", token)
+}
+
+fn denied(answer: &Answered) -> (&str, &str) {
+    let why = answer.head.lines().find_map(|line| line.strip_prefix("X-Denied: "));
+    (answer.status(), why.unwrap_or("-"))
+}
+
+#[test]
+fn the_known_are_served_and_the_unknown_told_so_before_anything_of_theirs_is_looked_at() {
+    let (_issuer, backend) = serving();
+    let mut edge = backend.connect();
+    for (n, id) in [(1, A), (2, B)] {
+        let token = usual(n, "north");
+        edge.task(n.into(), "bid", id, &[by(&token), ("HTTP_IDEMPOTENCY_KEY", id)]);
+        assert_eq!(backend.runtime.command("start")["rid"], id);
+        backend.runtime.end(id, "PASS", b"sold");
+        assert_eq!(edge.status(n.into()), "200");
+    }
+    let forged = format!("{}x", usual(2, "north"));
+    let expired = token(2, "north", |claims| claims["exp"] = json!(1000));
+    let early = token(2, "north", |claims| claims["nbf"] = json!(1e12));
+    let gone = token(2, "north", |claims| claims["jti"] = json!("gone"));
+    let other_issuer = token(2, "north", |claims| claims["iss"] = json!("other"));
+    let none = sign(&key(2), &json!({"alg": "none", "kid": "k2"}), &json!({}));
+    let basic = "Basic YTpi".to_owned();
+    let bad = [
+        String::new(),
+        forged,
+        expired,
+        early,
+        gone,
+        other_issuer,
+        none,
+        basic,
+        usual(3, "north"),
+        usual(4, "north"),
+        usual(5, "north"),
+    ];
+    for (n, token) in bad.iter().enumerate() {
+        let answer = ask(&mut edge, 10 + n as u16, "bid", C, &[by(token), KEY]);
+        assert_eq!(denied(&answer), ("401", "unknown"), "{token}");
+        assert!(answer.head.contains("WWW-Authenticate: Bearer\r\n"));
+    }
+    let unknown = usual(2, "nowhere");
+    assert_eq!(denied(&ask(&mut edge, 30, "bid", C, &[by(&unknown), KEY])), ("403", "forbidden"));
+    assert_eq!(backend.runtime.commanded(), None);
+    // None of them is a task: the module has seen two.
+    backend.counters_until(|count| {
+        count("tasks_taken") == 2 && count("callers_unknown") == 11 && count("callers_forbidden") == 1
+    });
+}
+
+#[test]
+fn a_role_opens_its_stages_within_its_bounds_and_what_is_over_is_told_when_to_come_again() {
+    let (_issuer, backend) = serving();
+    let mut edge = backend.connect();
+    let clerk = token(2, "north", |claims| claims["roles"] = json!(["clerk"]));
+    let foreign = token(2, "south", |claims| claims["roles"] = json!(["clerk"]));
+    assert_eq!(denied(&ask(&mut edge, 1, "bid", A, &[by(&clerk), KEY])), ("403", "forbidden"));
+    assert_eq!(denied(&ask(&mut edge, 2, "page", A, &[by(&foreign)])), ("403", "forbidden"));
+    let dear = [by(&clerk), ("HTTP_X_COST_MS", "20.5")];
+    assert_eq!(denied(&ask(&mut edge, 3, "page", A, &dear)), ("403", "forbidden"));
+    edge.task(4, "page", A, &[by(&clerk)]);
+    backend.runtime.command("start");
+    // One place, which comes back with the end of the run; then the rate.
+    assert_eq!(denied(&ask(&mut edge, 5, "page", B, &[by(&clerk)])), ("429", "over"));
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(4), "200");
+    edge.task(6, "page", B, &[by(&clerk)]);
+    backend.runtime.command("start");
+    backend.runtime.end(B, "PASS", b"");
+    assert_eq!(edge.status(6), "200");
+    let answer = ask(&mut edge, 7, "page", C, &[by(&clerk)]);
+    assert_eq!(denied(&answer), ("429", "over"));
+    assert!(answer.head.contains("Retry-After-Ms: "), "{}", answer.head);
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+#[test]
+fn a_repeat_gets_its_result_under_a_new_token_and_another_tenant_never_meets_it() {
+    let (issuer, backend) = serving();
+    let mut edge = backend.connect();
+    let old = usual(1, "north");
+    edge.task(1, "bid", A, &[by(&old), KEY]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.answer().unwrap().body, b"sold");
+    // The key that signed goes for good; a new token by its successor gets the result.
+    let mut next: Value = json!({"seq": 2, "issued_ms": unix_ms(), "revoked": {"tokens": ["gone"]}});
+    next["keys"] =
+        json!([{"kty": "OKP", "crv": "Ed25519", "kid": "k2", "x": key(2).public_text(), "from_ms": 0}]);
+    let head = json!({"alg": "EdDSA", "kid": "root", "typ": asterdale_identity::keyring::TYPE});
+    issuer.publish(2, sign(&root(), &head, &next));
+    backend.counters_until(|count| count("keys_adopted") == 2);
+    assert_eq!(denied(&ask(&mut edge, 2, "bid", B, &[by(&old), KEY])), ("401", "unknown"));
+    let new = usual(2, "north");
+    assert_eq!(ask(&mut edge, 3, "bid", B, &[by(&new), KEY]).body, b"sold");
+    // Without the right to the stage there is no result either.
+    let clerk = token(2, "north", |claims| claims["roles"] = json!(["clerk"]));
+    assert_eq!(denied(&ask(&mut edge, 4, "bid", B, &[by(&clerk), KEY])), ("403", "forbidden"));
+    // The other tenant's task under the same key is a task of its own.
+    let south = usual(2, "south");
+    edge.task(5, "bid", C, &[by(&south), KEY]);
+    assert_eq!(backend.runtime.command("start")["rid"], C);
+    backend.runtime.end(C, "PASS", b"other");
+    assert_eq!(edge.answer().unwrap().body, b"other");
+    assert_eq!(ask(&mut edge, 6, "bid", D, &[by(&new), KEY]).body, b"sold");
+}
+
+#[test]
+fn a_revoked_caller_s_held_task_ends_at_once_his_running_one_goes_on_and_his_repeat_never_runs() {
+    let issuer = Issuer::start().unwrap();
+    issuer.publish(1, set(1, json!({})));
+    let backend = backend(&issuer, |config| config["settings"]["extra"]["cores"] = json!(1));
+    backend.runtime.up();
+    backend.counters_until(|count| count("links") == 1 && count("keys_adopted") == 1);
+    let (mut edge, mut other) = (backend.connect(), backend.connect());
+    let (ann, bob) = (usual(2, "north"), token(2, "south", |claims| claims["sub"] = json!("bob")));
+    edge.task(1, "bid", A, &[by(&ann), KEY]);
+    backend.runtime.command("start");
+    // These are held: the limit is at its floor, one core.
+    let held = [(2, B), (3, C)];
+    for (number, id) in held {
+        edge.task(number, "bid", id, &[by(&ann), ("HTTP_IDEMPOTENCY_KEY", id)]);
+    }
+    other.task(1, "bid", D, &[by(&bob), KEY]);
+    backend.counters_until(|count| count("tasks_taken") == 4);
+    issuer.publish(2, set(2, json!({"subjects": ["north/ann"]})));
+    let mut ended = [edge.answer().unwrap(), edge.answer().unwrap()];
+    ended.sort_by_key(|answer| answer.request);
+    assert_eq!(ended.each_ref().map(denied), [("401", "unknown"); 2]);
+    assert_eq!(ended.map(|answer| answer.request), [2, 3]);
+    // What runs goes on; its place goes to the other tenant, and to nobody who was revoked.
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.answer().unwrap().body, b"sold");
+    assert_eq!(backend.runtime.command("start")["rid"], D);
+    backend.runtime.end(D, "PASS", b"his");
+    assert_eq!(other.answer().unwrap().body, b"his");
+    for number in 4..7 {
+        assert_eq!(denied(&ask(&mut edge, number, "bid", B, &[by(&ann), KEY])), ("401", "unknown"));
+    }
+    // The result was kept: a colleague of his tenant gets it.
+    let colleague = token(2, "north", |claims| claims["sub"] = json!("eve"));
+    assert_eq!(ask(&mut edge, 7, "bid", B, &[by(&colleague), KEY]).body, b"sold");
+    assert_eq!(backend.runtime.commanded(), None);
+    backend.counters_until(|count| count("tasks_revoked") == 2 && count("tasks_open") == 0);
+}
+
+#[test]
+fn before_the_first_set_and_beyond_its_age_nobody_is_judged_and_nothing_that_ran_is_denied() {
+    let issuer = Issuer::start().unwrap();
+    let backend = backend(&issuer, |config| config["identity"]["max_age_ms"] = json!(1500));
+    backend.runtime.up();
+    let mut edge = backend.connect();
+    let good = usual(2, "north");
+    let answer = ask(&mut edge, 1, "bid", A, &[by(&good), KEY]);
+    assert_eq!(denied(&answer), ("503", "unable"));
+    assert!(answer.head.contains("Retry-After-Ms: 1000\r\n"), "{}", answer.head);
+    issuer.publish(1, set(1, json!({})));
+    backend.counters_until(|count| count("keys_adopted") == 1);
+    edge.task(2, "bid", A, &[by(&good), KEY]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.status(2), "200");
+    issuer.mood(Mood::Down);
+    let other = [by(&good), ("HTTP_IDEMPOTENCY_KEY", "other")];
+    let mut number = 2;
+    until("the set to grow old", || {
+        number += 1;
+        let answer = ask(&mut edge, number, "bid", B, &[by(&good), KEY]);
+        assert!(answer.status() == "500" || answer.body == b"sold");
+        answer.status() == "500"
+    });
+    // Of a key under which something ran nothing is said; of another, that this try never ran, as is so.
+    assert_eq!(denied(&ask(&mut edge, 901, "bid", B, &[by(&good), KEY])), ("500", "-"));
+    assert_eq!(denied(&ask(&mut edge, 902, "bid", B, &other)), ("503", "unable"));
+    issuer.publish(2, set(2, json!({})));
+    issuer.mood(Mood::Good);
+    backend.counters_until(|count| count("keys_adopted") == 2 && count("issuer_failed") >= 1);
+    assert_eq!(ask(&mut edge, 903, "bid", B, &[by(&good), KEY]).body, b"sold");
+}
+
+#[test]
+fn an_issuer_that_lies_or_fails_changes_nothing() {
+    let (issuer, backend) = serving();
+    let mut edge = backend.connect();
+    issuer.publish(2, set(2, json!({"subjects": ["north/bob"]})));
+    backend.counters_until(|count| count("keys_adopted") == 2);
+    let other_root = Secret::from_seed([66; 32], "root");
+    let head = json!({"alg": "EdDSA", "kid": "root", "typ": asterdale_identity::keyring::TYPE});
+    issuer.forged(sign(&other_root, &head, &json!({"seq": 9, "issued_ms": unix_ms(), "keys": []})));
+    let good = usual(2, "north");
+    let bob = token(2, "north", |claims| claims["sub"] = json!("bob"));
+    for (n, mood) in [Mood::RolledBack, Mood::Rubbish, Mood::Forged, Mood::Down].into_iter().enumerate() {
+        let (failed, refused) = (std::cell::Cell::new(u64::MAX), std::cell::Cell::new(u64::MAX));
+        backend.counters_until(|count| {
+            failed.set(count("issuer_failed"));
+            refused.set(count("keys_refused"));
+            true
+        });
+        issuer.mood(mood);
+        backend.counters_until(|count| {
+            count("issuer_failed") > failed.get() || count("keys_refused") > refused.get()
+        });
+        let number = 10 * n as u16 + 1;
+        assert_eq!(denied(&ask(&mut edge, number, "bid", B, &[by(&bob), KEY])), ("401", "unknown"));
+        edge.task(number + 1, "page", A, &[by(&good)]);
+        backend.runtime.command("start");
+        backend.runtime.end(A, "PASS", b"");
+        assert_eq!(edge.status(number + 1), "200");
+    }
+}
+
+#[test]
+fn a_start_file_read_again_changes_rights_at_once_and_can_not_open_the_gate() {
+    let (issuer, mut backend) = serving();
+    let mut edge = backend.connect();
+    let good = usual(2, "north");
+    edge.task(1, "page", A, &[by(&good)]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+    let without = backend.changed(|config| config["identity"]["tenants"][0]["roles"] = json!(["clerk"]));
+    backend.reload(&without);
+    backend.counters_until(|count| count("reloads") == 1);
+    assert_eq!(denied(&ask(&mut edge, 2, "page", B, &[by(&good)])), ("403", "forbidden"));
+    let open = backend.changed(|config| drop(config.as_object_mut().unwrap().remove("identity")));
+    backend.reload(&open);
+    backend.counters_until(|count| count("reloads_failed") == 1);
+    assert_eq!(denied(&ask(&mut edge, 3, "page", B, &[])), ("401", "unknown"));
+    drop(issuer);
+}
+
+#[test]
+fn keys_from_a_file_come_with_the_start_and_with_each_reload() {
+    let file = std::env::temp_dir().join(format!("asterdale-set-{}", std::process::id()));
+    std::fs::write(&file, set(1, json!({}))).unwrap();
+    let issuer = Issuer::start().unwrap();
+    let mut backend = backend(&issuer, |config| config["identity"]["keys"] = json!({"file": file}));
+    backend.runtime.up();
+    backend.counters_until(|count| count("links") == 1);
+    let mut edge = backend.connect();
+    let good = usual(2, "north");
+    edge.task(1, "page", A, &[by(&good)]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+    std::fs::write(&file, set(2, json!({"keys": ["k2"]}))).unwrap();
+    let same = backend.changed(|_| ());
+    backend.reload(&same);
+    backend.counters_until(|count| count("keys_adopted") == 2);
+    assert_eq!(denied(&ask(&mut edge, 2, "page", B, &[by(&good)])), ("401", "unknown"));
+    // One that is broken leaves the last one in force.
+    std::fs::write(&file, "rubbish").unwrap();
+    backend.reload(&same);
+    backend.counters_until(|count| count("keys_refused") == 1);
+    assert_eq!(denied(&ask(&mut edge, 3, "page", B, &[by(&good)])), ("401", "unknown"));
+    std::fs::remove_file(&file).unwrap();
+}
+
+#[test]
+fn checks_need_no_token_and_a_token_means_nothing_where_nobody_is_asked() {
+    let (_issuer, backend) = serving();
+    let mut edge = backend.connect();
+    edge.send(&asterdale_rig::scripted::request(1, "/healthz", &[], b""));
+    assert_eq!(edge.status(1), "200");
+    let open = Backend::start();
+    let mut edge = open.connect();
+    edge.task(1, "page", A, &[by("Bearer rubbish")]);
+    open.runtime.command("start");
+    open.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+}
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -1,13 +1,13 @@
 //! The program on real sockets, among stand-ins for all that it talks to.
 
-mod stand_ins;
-
 use std::io::Write;
 use std::net::{Shutdown, TcpListener};
 
 use asterdale_fastcgi::kind;
+use asterdale_rig::scripted::{
+    self, address, config, counter, launch, now, record, request, until, Backend, Edge, PATIENCE,
+};
 use serde_json::json;
-use stand_ins::{address, config, counter, launch, now, record, request, until, Backend, Edge, PATIENCE};
 
 const A: &str = "00000000000000aa";
 const B: &str = "00000000000000bb";
@@ -47,7 +47,7 @@
     let mut edge = backend.connect();
     edge.stream.set_nodelay(true).unwrap();
     let start = now();
-    for byte in request(3, "/v1/page", &stand_ins::fields(A, &start, &[]), b"x") {
+    for byte in request(3, "/v1/page", &scripted::fields(A, &start, &[]), b"x") {
         edge.send(&[byte]);
     }
     backend.runtime.command("start");
@@ -271,7 +271,7 @@
     edge.task(6, "unheard", A, &[KEY]);
     assert_eq!(edge.status(6), "400");
     let start = now();
-    let long = request(7, "/v1/page", &stand_ins::fields(A, &start, &[]), &[0; 2049]);
+    let long = request(7, "/v1/page", &scripted::fields(A, &start, &[]), &[0; 2049]);
     edge.send(&long);
     assert_eq!(edge.status(7), "400");
     assert_eq!(backend.runtime.commanded(), None);
@@ -285,7 +285,7 @@
     half.send(&record(kind::BEGIN_REQUEST, 1, &[0, 1, 1, 0, 0, 0, 0, 0]));
     // A key that is known, with another body: its result is not for this one.
     let start = now();
-    let other = stand_ins::fields(B, &start, &[KEY]);
+    let other = scripted::fields(B, &start, &[KEY]);
     again.send(&request(1, "/v1/bid", &other, b"other"));
     assert_eq!(again.status(1), "400");
     // The same again the moment it is turned away.
@@ -301,7 +301,7 @@
     assert!((3..=16).contains(&asked), "{asked}");
     // A body that is too long is answered before its end.
     let mut long = backend.connect();
-    let bytes = request(1, "/v1/page", &stand_ins::fields(C, &start, &[]), &[0; 2049]);
+    let bytes = request(1, "/v1/page", &scripted::fields(C, &start, &[]), &[0; 2049]);
     long.send(&bytes[..bytes.len() - 11]);
     assert_eq!(long.status(1), "400");
     assert_eq!((silent.answer(), half.answer()), (None, None));
--- /dev/null
+++ b/crates/asterdale-host/src/callers.rs
@@ -0,0 +1,194 @@
+//! The gate: who is calling, and whether he may. [`asterdale_identity`] decides; here its verdicts become
+//! replies, counts and lines. Where identity is off nobody is asked, and nothing is kept.
+
+use std::sync::Arc;
+
+use asterdale_identity::keyring::Offered;
+use asterdale_identity::planted::{self, Fault};
+use asterdale_identity::rights::Denied;
+use asterdale_identity::{Ask, Caller, Facts, Identity, Kind as Said, Seat, Why};
+use crossbeam_channel::Sender;
+
+use crate::counters::Counters;
+use crate::issuer::Nudge;
+use crate::log::{Kind, Log};
+use crate::mail::{text, Id, Mark, Reply, Serial};
+use crate::tasks::{Slot, Tasks};
+
+/// Advice to a caller that can't be judged now, in milliseconds: about when a set may have come.
+const AGAIN: f64 = 1000.0;
+
+/// The gate.
+pub struct Callers {
+    identity: Option<Identity>,
+    counters: Arc<Counters>,
+    /// Hears of keys that no set has held.
+    issuer: Option<Sender<Nudge>>,
+}
+
+impl Callers {
+    /// A gate that asks this; an open one where there is none.
+    pub fn new(
+        identity: Option<Identity>,
+        issuer: Option<Sender<Nudge>>,
+        counters: &Arc<Counters>,
+    ) -> Callers {
+        Callers { identity, issuer, counters: counters.clone() }
+    }
+
+    /// The start file was read again. A gate can't be opened or closed that way: what it let in would lose its
+    /// tenant, or have none.
+    pub fn retold(&mut self, facts: Option<Box<Facts>>, log: &Log) {
+        let why = match (&mut self.identity, facts) {
+            (Some(identity), Some(facts)) => match identity.retold(*facts) {
+                Ok(()) => return,
+                Err(why) => why,
+            },
+            (None, None) => return,
+            _ => "identity is turned on or off by a start only".to_owned(),
+        };
+        self.counters.reloads_failed.add();
+        slog::error!(log.lines, "identity: what the start file says of it is passed over"; "why" => why);
+    }
+
+    /// Offers a set of keys; `true` if it is another one than before.
+    pub fn offer(&mut self, now: f64, set: &[u8], log: &Log) -> bool {
+        static REFUSED: Kind = Kind::new();
+        let Some(identity) = &mut self.identity else { return false };
+        match identity.offer(now, set) {
+            Ok(Offered::Adopted) => {
+                self.counters.keys_adopted.add();
+                slog::info!(log.lines, "identity: a set of keys is adopted"; "seq" => identity.ring().seq());
+                true
+            }
+            Ok(Offered::Same) => false,
+            Err(why) => {
+                self.counters.keys_refused.add();
+                if log.may(&REFUSED) {
+                    slog::error!(log.lines, "identity: a set of keys is refused, the last one stays";
+                        "why" => ?why, "seq" => identity.ring().seq());
+                }
+                false
+            }
+        }
+    }
+
+    /// The customer that a caller's tasks count for.
+    pub fn customer(&self, caller: Option<&Caller>) -> usize {
+        match (&self.identity, caller) {
+            (Some(identity), Some(caller)) => identity.customer(caller.tenant),
+            _ => 0,
+        }
+    }
+
+    /// A task is over: its place is given back here, and nowhere else.
+    pub fn leave(&mut self, seat: Option<Seat>) {
+        if let (Some(identity), Some(seat)) = (&mut self.identity, seat) {
+            identity.leave(seat);
+        }
+    }
+
+    /// Counts what is kept.
+    pub fn count(&self) {
+        if let Some(identity) = &self.identity {
+            let (checked, kept) = identity.cost();
+            self.counters.signatures.set(checked as usize);
+            self.counters.tokens_kept.set(kept);
+        }
+    }
+
+    fn reply(&self, denied: Denied) -> Reply {
+        let kind = denied.why.kind();
+        match kind {
+            Said::Unknown => self.counters.callers_unknown.add(),
+            Said::Forbidden => self.counters.callers_forbidden.add(),
+            Said::Over => self.counters.callers_over.add(),
+            Said::Unable => self.counters.callers_unable.add(),
+        }
+        let wait_ms = match denied.why {
+            Why::NoKeys => AGAIN,
+            Why::Rate | Why::Busy => denied.wait_ms.clamp(1.0, 60_000.0).ceil(),
+            _ => 0.0,
+        };
+        Reply::Denied { kind, wait_ms: wait_ms as u64 }
+    }
+}
+
+fn turned_away(log: &Log, id: &Id, stage: &str, tenant: &str, why: Why) {
+    static AWAY: Kind = Kind::new();
+    if log.may(&AWAY) {
+        slog::warn!(log.lines, "identity: a caller is turned away";
+            "id" => text(id), "stage" => stage, "tenant" => tenant, "why" => ?why);
+    }
+}
+
+impl Tasks {
+    /// The first gate: who is calling. The mark is the tenant's from then on. Nothing of the module is touched.
+    pub fn who(
+        &mut self,
+        token: Option<&[u8]>,
+        (id, stage, edge): (Id, usize, u32),
+        unread_ms: f64,
+        mark: &mut Option<Mark>,
+    ) -> Result<Option<Arc<Caller>>, Reply> {
+        let now = self.now;
+        let Some(identity) = &mut self.callers.identity else { return Ok(None) };
+        match identity.identify(now, Ask { token, edge, arrived_ms: now - unread_ms }) {
+            Ok(caller) => {
+                if let Some(mark) = mark.as_mut().filter(|_| !planted::is(Fault::Mark)) {
+                    mark.tenant = caller.tenant;
+                }
+                Ok(Some(caller))
+            }
+            Err(denied) => {
+                if let (Why::KeyUnknown, Some(issuer)) = (denied.why, &self.callers.issuer) {
+                    let _ = issuer.try_send(Nudge::Wanted);
+                }
+                turned_away(&self.log, &id, &self.facts.stages[stage], "", denied.why);
+                let reply = self.callers.reply(denied);
+                // A caller that can't be judged is told that this try never ran. That is so; but of a key under
+                // which something has run, whoever's it is, nothing is said that could be taken for more.
+                let unable = denied.why.kind() == Said::Unable;
+                Err(if unable && self.known_somewhere(mark.as_ref(), now - unread_ms) {
+                    Reply::Abandoned
+                } else {
+                    reply
+                })
+            }
+        }
+    }
+
+    /// Whether any tenant's task is remembered under this mark.
+    fn known_somewhere(&self, mark: Option<&Mark>, arrived: f64) -> bool {
+        let (Some(mark), Some(identity)) = (mark, &self.callers.identity) else { return false };
+        (0..identity.rights().tenants())
+            .any(|tenant| self.fingerprints.knows(&Mark { tenant, ..mark.clone() }, arrived))
+    }
+
+    /// The second gate: whether this caller may have this task now.
+    pub fn may(
+        &mut self,
+        caller: Option<&Caller>,
+        (id, stage): (Id, usize),
+        hint_ms: Option<f64>,
+        repeat: bool,
+    ) -> Result<Option<Seat>, Reply> {
+        let (Some(identity), Some(caller)) = (&mut self.callers.identity, caller) else { return Ok(None) };
+        identity.permit(self.now, caller, stage, hint_ms, repeat).map_err(|denied| {
+            let tenant = &caller.claims.tenant;
+            turned_away(&self.log, &id, &self.facts.stages[stage], tenant, denied.why);
+            self.callers.reply(denied)
+        })
+    }
+
+    /// Tasks that wait for an answer, have not been started, and whose caller is revoked by now; with what to
+    /// tell him.
+    pub fn revoked(&self) -> Vec<(Serial, Reply)> {
+        let Some(identity) = &self.callers.identity else { return Vec::new() };
+        let revoked = |slot: &Slot| {
+            let caller = slot.caller.as_ref().filter(|_| slot.back.is_some() && !slot.started)?;
+            Some((slot.serial, self.callers.reply(identity.revoked(caller)?.into())))
+        };
+        self.slots.iter().flatten().filter_map(revoked).collect()
+    }
+}
--- a/crates/asterdale-host/src/counters.rs
+++ b/crates/asterdale-host/src/counters.rs
@@ -67,6 +67,26 @@
     tasks_open,
     /// Answered with 400: a field was missing or senseless.
     tasks_senseless,
+    /// Turned away with 401: who is calling is not known, or revoked.
+    callers_unknown,
+    /// Turned away with 403: known, and not allowed.
+    callers_forbidden,
+    /// Turned away with 429: over what the caller's role may have at once or in a second.
+    callers_over,
+    /// Turned away with 503: there are no keys, too old ones, or too many new tokens through one edge node.
+    callers_unable,
+    /// Held tasks answered with 401 as their caller was revoked meanwhile.
+    tasks_revoked,
+    /// Sets of keys that were adopted.
+    keys_adopted,
+    /// Sets of keys that were refused, and the last good one stayed.
+    keys_refused,
+    /// Times that the issuer gave no set.
+    issuer_failed,
+    /// Signatures checked.
+    signatures,
+    /// Proven tokens remembered now.
+    tokens_kept,
     /// Answered with OVERLOADED: more open requests than a connection may carry, or fingerprints than are kept.
     requests_over,
     /// Passed over: opened under the number of one that is open.
--- a/crates/asterdale-host/src/fingerprints.rs
+++ b/crates/asterdale-host/src/fingerprints.rs
@@ -155,7 +155,7 @@
     use super::*;
 
     fn mark() -> Mark {
-        Mark { stage: 1, text: b"key".as_slice().into() }
+        Mark { stage: 1, tenant: 0, text: b"key".as_slice().into() }
     }
 
     fn table() -> Fingerprints {
@@ -171,6 +171,7 @@
         table.sweep(1040.0);
         assert!(table.knows(&mark(), 999.0) && !table.knows(&mark(), 1000.0));
         assert!(!table.knows(&Mark { stage: 0, ..mark() }, 0.0));
+        assert!(!table.knows(&Mark { tenant: 1, ..mark() }, 0.0), "another tenant's key");
         table.sweep(1051.0);
         assert_eq!((table.len(), table.bytes()), (0, 0));
     }
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -10,10 +10,13 @@
 use asterdale::told::{Arrival, Gauges, Outcome, Repeat};
 use asterdale::{Machine, Server};
 use asterdale_facts::Facts;
+use asterdale_identity::Identity;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
+use crate::callers::Callers;
 use crate::counters::{resident_kib, Counters};
 use crate::fingerprints::Fingerprints;
+use crate::issuer::Nudge;
 use crate::log::{Kind, Log};
 use crate::mail::{Asked, Client, Fronts, How, Id, Line, Mail, Peers, Reply, Request, Serial, Way, Word};
 use crate::records::Records;
@@ -50,7 +53,7 @@
 const REPLAY: &str = "replay";
 
 /// Milliseconds since the Unix epoch by the system's clock.
-fn unix_ms() -> f64 {
+pub fn unix_ms() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
 }
 
@@ -83,6 +86,8 @@
     pub list: Sender<Word>,
     /// The runtime's actor takes a new address here.
     pub moves: Sender<SocketAddr>,
+    /// The issuer's actor, where there is one.
+    pub issuer: Option<Sender<Nudge>>,
     /// Counts.
     pub counters: Arc<Counters>,
     /// Has lines.
@@ -99,6 +104,8 @@
     pub stop_ms: f64,
     /// Where the peers listen.
     pub peers: Peers,
+    /// Whether callers must be known, and what that takes.
+    pub identity: Option<Identity>,
 }
 
 /// The actor.
@@ -129,8 +136,8 @@
 impl Host {
     /// A host with nothing in it.
     pub fn new(begin: Begin, around: Around) -> Host {
-        let Around { records, fronts, list, moves, counters, log } = around;
-        let Begin { facts, memory, stop_ms, peers } = begin;
+        let Around { records, fronts, list, moves, issuer, counters, log } = around;
+        let Begin { facts, memory, stop_ms, peers, identity } = begin;
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(0.0, f64::max);
         let clock = Clock { unix: unix_ms(), began: Instant::now() };
         Host {
@@ -145,8 +152,10 @@
                 serial: 0,
                 arriving: None,
                 fingerprints: Fingerprints::new(memory, longest),
+                callers: Callers::new(identity, issuer, &counters),
                 joined: VecDeque::new(),
                 not_begun: VecDeque::new(),
+                not_started: VecDeque::new(),
                 link: Link::default(),
                 records,
                 fronts,
@@ -255,7 +264,11 @@
             }
             Mail::Line(line) => self.line(line),
             Mail::Called { who, outcome, took_ms, body } => self.called(who, outcome, took_ms, &body),
-            Mail::Moved(peers) => self.moved(peers),
+            Mail::Keys(set) => self.keys(&set),
+            Mail::Retold(peers, facts) => {
+                self.tasks.callers.retold(facts, &self.tasks.log);
+                self.moved(peers);
+            }
             Mail::Leave => self.leave(),
             Mail::Report => self.report(),
         }
@@ -316,20 +329,26 @@
     }
 
     fn take(&mut self, request: Request) {
-        let Request { asked, body, client, request, since } = request;
-        let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark } = asked;
+        let Request { asked, token, body, client, request, since } = request;
+        let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mut mark } = asked;
         let tasks = &mut self.tasks;
         if tasks.by_way.contains_key(&(client.connection(), request)) {
             // Two answers under one number could not be told apart: the first request keeps it.
             tasks.counters.requests_twice.add();
             return client.drop_one();
         }
+        // Stamps are by the Unix clock, as is this difference alone.
+        let since_ms = (unix_ms() - start_ms).max(0.0);
+        // A stamp from before all else on its connection was read is wrong, and would be taken for a backlog.
+        let unread_ms = since_ms.min(since.elapsed().as_secs_f64() * 1000.0);
+        let who = match tasks.who(token.as_deref(), (id, stage, caller), unread_ms, &mut mark) {
+            Ok(who) => who,
+            Err(reply) => return client.answer(request, reply),
+        };
         if tasks.by_id.contains_key(&id) {
             tasks.counters.tasks_senseless.add();
             return client.answer(request, Reply::Senseless);
         }
-        // Stamps are by the Unix clock, as is this difference alone.
-        let since_ms = (unix_ms() - start_ms).max(0.0);
         let sign = tasks.fingerprints.sign(&body);
         if mark.as_ref().is_some_and(|mark| tasks.fingerprints.differs(mark, sign)) {
             // Another task under a known key: its result is not this one's.
@@ -343,10 +362,12 @@
             tasks.counters.requests_over.add();
             return client.answer(request, Reply::Overloaded);
         }
+        let seat = match tasks.may(who.as_deref(), (id, stage), hint_ms, repeat) {
+            Ok(seat) => seat,
+            Err(reply) => return client.answer(request, reply),
+        };
         tasks.counters.tasks_taken.add();
         tasks.counters.tasks_open.add();
-        // A stamp from before all else on its connection was read is wrong, and would be taken for a backlog.
-        let unread_ms = since_ms.min(since.elapsed().as_secs_f64() * 1000.0);
         if self.callers.len() >= MOST_CALLERS {
             self.callers.clear();
         }
@@ -354,7 +375,7 @@
         let caller = *self.callers.entry(caller).or_insert(next);
         let arrival = Arrival {
             stage,
-            customer: 0,
+            customer: tasks.callers.customer(who.as_deref()),
             caller,
             unread_ms,
             left_ms: timeout_ms.map(|ms| (ms - since_ms).max(0.0)),
@@ -364,13 +385,53 @@
         };
         tasks.serial += 1;
         let (serial, back) = (tasks.serial, Some((client, request)));
-        tasks.arriving = Some(Slot { serial, id, stage, body, sign, back, mark, wants: None, sent: None });
+        let (caller, started, void, wants, sent) = (who, false, false, None, None);
+        tasks.arriving = Some(Slot {
+            serial,
+            id,
+            stage,
+            body,
+            sign,
+            back,
+            mark,
+            caller,
+            seat,
+            started,
+            void,
+            wants,
+            sent,
+        });
         self.begin(false, 0.0);
         if let Some(server) = &mut self.server {
             server.take(self.tasks.now, arrival, &mut self.tasks);
         }
     }
 
+    /// A set of keys has come. Whoever is revoked by it hears so at once where nothing runs for him yet; what
+    /// runs goes on, and its result is kept.
+    fn keys(&mut self, set: &[u8]) {
+        if !self.tasks.callers.offer(self.tasks.now, set, &self.tasks.log) {
+            return;
+        }
+        // All are answered before the module hears of the first: what it frees must start none of the others.
+        let revoked = self.tasks.revoked();
+        for (serial, reply) in &revoked {
+            let tasks = &mut self.tasks;
+            let Some(task) = tasks.by_serial.get(serial).copied() else { continue };
+            if let Some(slot) = tasks.slot(task) {
+                slot.void = true;
+            }
+            tasks.answer(task, reply.clone());
+            tasks.counters.tasks_revoked.add();
+        }
+        for (serial, _) in revoked {
+            let (Some(server), tasks) = (&mut self.server, &mut self.tasks) else { return };
+            if let Some(task) = tasks.by_serial.get(&serial).copied() {
+                task.caller_left(server, tasks.now, tasks);
+            }
+        }
+    }
+
     /// Nobody waits any more for this request.
     fn leave_task(&mut self, way: Way) {
         let (Some(server), tasks) = (&mut self.server, &mut self.tasks) else { return };
@@ -414,6 +475,10 @@
                 let Some(task) = tasks.by_serial.get(&who).copied() else { continue };
                 tasks.counters.calls_failed.add();
                 task.call_over(server, tasks.now, Outcome::Unreachable, 0.0, tasks);
+            } else if let Some(who) = tasks.not_started.pop_front() {
+                let Some(task) = tasks.by_serial.get(&who).copied() else { continue };
+                tasks.forget(task); // nothing was started: another of its tenant's may still run
+                task.run_over(server, tasks.now, Outcome::Moot, tasks);
             } else {
                 return;
             }
@@ -644,6 +709,7 @@
         tasks.counters.fingerprints.set(tasks.fingerprints.len());
         tasks.counters.result_bytes.set(tasks.fingerprints.bytes());
         tasks.counters.memory_kib.set(resident_kib());
+        tasks.callers.count();
         slog::info!(tasks.log.lines, "counters: {}", tasks.counters);
     }
 }
--- a/crates/asterdale-host/src/http.rs
+++ b/crates/asterdale-host/src/http.rs
@@ -6,6 +6,8 @@
 
 /// No head may be longer, and no body: the platform's bodies are a few KiB.
 const MOST: usize = 64 * 1024;
+/// No tag that is kept is longer.
+const MOST_TAG: usize = 128;
 
 /// A reply.
 #[derive(Debug, PartialEq, Eq)]
@@ -14,6 +16,8 @@
     pub status: u16,
     /// It carries `Op-Not-Begun: 1`.
     pub not_begun: bool,
+    /// Its entity tag, if it has a short one.
+    pub tag: Option<Vec<u8>>,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -74,7 +78,9 @@
         let length = length(fields("content-length"), status).ok_or_else(|| bad("no sure length"))?;
         let Some(body) = got.get(at..at + length) else { return Ok(None) };
         let not_begun = fields("op-not-begun").next() == Some(b"1");
-        return Ok(Some(Reply { status, not_begun, body: body.to_vec() }));
+        // One that is longer would make the next request long: it goes without.
+        let tag = fields("etag").next().filter(|tag| tag.len() <= MOST_TAG).map(<[u8]>::to_vec);
+        return Ok(Some(Reply { status, not_begun, tag, body: body.to_vec() }));
     }
 }
 
@@ -97,7 +103,7 @@
         for cut in 0..text.len() {
             assert!(parse(&text[..cut]).unwrap().is_none(), "cut at {cut}");
         }
-        let wanted = Reply { status: 503, not_begun: true, body: b"abc".to_vec() };
+        let wanted = Reply { status: 503, not_begun: true, tag: None, body: b"abc".to_vec() };
         assert_eq!(parse(text).unwrap(), Some(wanted));
     }
 
@@ -122,7 +128,7 @@
     fn interim_replies_before_it_and_noise_after_it_are_no_part_of_it() {
         let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n\
             HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Le\xff";
-        let wanted = Reply { status: 200, not_begun: false, body: b"ok".to_vec() };
+        let wanted = Reply { status: 200, not_begun: false, tag: None, body: b"ok".to_vec() };
         assert_eq!(parse(text).unwrap(), Some(wanted));
         assert_eq!(parse(&text[..40]).unwrap(), None);
     }
--- /dev/null
+++ b/crates/asterdale-host/src/issuer.rs
@@ -0,0 +1,116 @@
+//! The issuer's actor: fetches the set of keys over HTTP, on a connection a time, and hands it to the host. When
+//! to ask is decided by [`Refresh`]; whether a set counts, by the keyring.
+
+use std::io::{self, IoSlice};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use asterdale_identity::refresh::Refresh;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+
+use crate::counters::Counters;
+use crate::gather;
+use crate::http;
+use crate::log::{Kind, Log};
+use crate::mail::Mail;
+
+/// No issuer is waited for longer: the last set serves meanwhile.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Where the set is fetched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The issuer.
+    pub at: SocketAddr,
+    /// The path of the set.
+    pub path: String,
+    /// How often, in milliseconds.
+    pub every_ms: f64,
+}
+
+/// What the issuer's actor is told.
+pub enum Nudge {
+    /// A task carries a key that no set has held: there may be a newer one.
+    Wanted,
+    /// The set is to be fetched here from now on.
+    Move(Place),
+}
+
+/// Fetches until the mailbox closes.
+pub fn fetch(
+    mut place: Place,
+    seed: u64,
+    nudges: &Receiver<Nudge>,
+    host: &Sender<Mail>,
+    counters: &Arc<Counters>,
+    log: &Log,
+) {
+    static FAILED: Kind = Kind::new();
+    static AGAIN_WELL: Kind = Kind::new();
+    let began = Instant::now();
+    let now = || began.elapsed().as_secs_f64() * 1000.0;
+    let mut refresh = Refresh::new(now(), place.every_ms, seed);
+    let (mut tag, mut well) = (None, true);
+    loop {
+        let wait = (refresh.next_at() - now()).clamp(0.0, 3.6e6);
+        match nudges.recv_timeout(Duration::from_micros((wait * 1000.0) as u64)) {
+            Ok(Nudge::Wanted) => {
+                refresh.wanted();
+                continue;
+            }
+            Ok(Nudge::Move(to)) => {
+                if to != place {
+                    (refresh, tag) = (Refresh::new(now(), to.every_ms, seed), None);
+                    place = to;
+                }
+                continue;
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        refresh.asked(now());
+        let got = get(&place, tag.as_deref());
+        refresh.turned_out(now(), got.is_ok());
+        match got {
+            Ok(got) => {
+                if !std::mem::replace(&mut well, true) && log.may(&AGAIN_WELL) {
+                    slog::info!(log.lines, "issuer: gives sets again");
+                }
+                let Some((set, its_tag)) = got else { continue };
+                tag = its_tag;
+                if host.send(Mail::Keys(set)).is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                counters.issuer_failed.add();
+                if std::mem::replace(&mut well, false) && log.may(&FAILED) {
+                    slog::warn!(log.lines, "issuer: no set, the last one serves"; "why" => %e);
+                }
+            }
+        }
+    }
+}
+
+type Fetched = (Vec<u8>, Option<Vec<u8>>);
+
+/// One conditional request: the set and its tag, or nothing where it has not changed.
+fn get(place: &Place, tag: Option<&[u8]>) -> io::Result<Option<Fetched>> {
+    let end = Instant::now() + PATIENCE;
+    let stream = TcpStream::connect_timeout(&place.at, PATIENCE)?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    stream.set_nodelay(true)?;
+    let head = format!("GET {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n", place.path, place.at);
+    let pieces = match tag {
+        Some(tag) => [head.as_bytes(), b"If-None-Match: ", tag, b"\r\n\r\n"],
+        None => [head.as_bytes(), b"\r\n", b"", b""],
+    };
+    gather::write(&stream, &mut pieces.map(IoSlice::new)).map_err(|(_, e)| e)?;
+    let reply = http::reply(&stream, end)?;
+    match reply.status {
+        200 => Ok(Some((reply.body, reply.tag))),
+        304 if tag.is_some() => Ok(None),
+        other => Err(io::Error::other(format!("status {other}"))),
+    }
+}
--- a/crates/asterdale-host/src/lib.rs
+++ b/crates/asterdale-host/src/lib.rs
@@ -3,13 +3,16 @@
 //! [`mail::Reply`]; which protocol they speak is theirs alone.
 //!
 //! Floors, from below: `mail` and what all share (`counters`, `log`, `gather`, `http`); the links (`runtime`,
-//! `records`, `registry`) and the table of `fingerprints`; `tasks`; `host`. None names one above it.
+//! `records`, `registry`, `issuer`), the table of `fingerprints` and the gate of `callers`; `tasks`; `host`. None
+//! names one above it.
 
+mod callers;
 pub mod counters;
 mod fingerprints;
 pub mod gather;
 pub mod host;
 pub mod http;
+pub mod issuer;
 pub mod log;
 pub mod mail;
 pub mod records;
--- a/crates/asterdale-host/src/log.rs
+++ b/crates/asterdale-host/src/log.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Instant;
 
-use slog::{o, Drain, Logger};
+use slog::{o, Drain, Level, LevelFilter, Logger};
 use slog_async::AsyncGuard;
 
 /// Where lines go.
@@ -17,15 +17,26 @@
 impl Log {
     /// A log whose lines are written by a thread of its own; what it can't keep up with is dropped and
     /// counted there. The guard's end writes what is left.
-    pub fn to_stderr(name: &str) -> (Log, AsyncGuard) {
-        let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    pub fn to_stderr(name: &str, json: bool, level: Level) -> (Log, AsyncGuard) {
         // A standard error that takes nothing must not end the program.
-        let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
+        if json {
+            return Log::through(slog_json::Json::default(std::io::stderr()).ignore_res(), name, level);
+        }
+        let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+        Log::through(slog_term::FullFormat::new(decorator).build().ignore_res(), name, level)
+    }
+
+    fn through<D>(drain: D, name: &str, level: Level) -> (Log, AsyncGuard)
+    where
+        D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    {
         let (drain, guard) = slog_async::Async::new(drain)
             .chan_size(256)
             .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
             .build_with_guard();
-        let lines = Logger::root(drain.ignore_res(), o!("backend" => name.to_owned()));
+        // Before the channel, so that lines that are not wanted cost no place in it.
+        let drain = LevelFilter::new(drain.ignore_res(), level).ignore_res();
+        let lines = Logger::root(drain, o!("backend" => name.to_owned()));
         (Log { lines, born: Instant::now() }, guard)
     }
 
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale::told::Outcome;
+use asterdale_identity::Kind;
 use crossbeam_channel::Sender;
 
 /// An id as edge nodes write it: 16 hexadecimal digits.
@@ -26,6 +27,8 @@
 pub struct Mark {
     /// The stage.
     pub stage: usize,
+    /// The tenant, so that no key of one tenant meets another's; 0 where callers are not known.
+    pub tenant: u32,
     /// The key as it came.
     pub text: Box<[u8]>,
 }
@@ -55,6 +58,8 @@
 pub struct Request {
     /// Its head.
     pub asked: Asked,
+    /// What it says of who is calling, where that is asked for.
+    pub token: Option<Box<[u8]>>,
     /// Its body.
     pub body: Vec<u8>,
     /// The way back.
@@ -87,6 +92,13 @@
     Left,
     /// A health check's end.
     Checked(bool),
+    /// The caller is turned away.
+    Denied {
+        /// What is said.
+        kind: Kind,
+        /// Come again after so many milliseconds; 0 for no advice.
+        wait_ms: u64,
+    },
 }
 
 /// One connection of a front, as all hold it who owe it an answer.
@@ -145,8 +157,10 @@
         /// The reply.
         body: Vec<u8>,
     },
-    /// The peers listen here from now on.
-    Moved(Peers),
+    /// A set of keys, as a file or the issuer has it.
+    Keys(Vec<u8>),
+    /// The start file was read again: the peers listen here, and this holds of callers, from now on.
+    Retold(Peers, Option<Box<asterdale_identity::Facts>>),
     /// The notice to leave.
     Leave,
     /// Print the counters.
--- a/crates/asterdale-host/src/records.rs
+++ b/crates/asterdale-host/src/records.rs
@@ -132,7 +132,7 @@
 
     #[test]
     fn only_what_the_service_says_never_began_never_ran() {
-        let reply = |status, not_begun| Reply { status, not_begun, body: Vec::new() };
+        let reply = |status, not_begun| Reply { status, not_begun, tag: None, body: Vec::new() };
         for (status, not_begun, wanted) in [
             (200, false, Outcome::Ok),
             (503, true, Outcome::Full),
--- a/crates/asterdale-host/src/tasks.rs
+++ b/crates/asterdale-host/src/tasks.rs
@@ -8,8 +8,10 @@
 use asterdale::told::Repeat;
 use asterdale::{Handle, Machine};
 use asterdale_facts::Facts;
+use asterdale_identity::{Caller, Seat};
 use crossbeam_channel::Sender;
 
+use crate::callers::Callers;
 use crate::counters::Counters;
 use crate::fingerprints::{Fate, Fingerprints};
 use crate::log::{Kind, Log};
@@ -50,6 +52,13 @@
     /// The way back, until it is answered.
     pub back: Option<(Arc<dyn Client>, u16)>,
     pub mark: Option<Mark>,
+    /// Who asked for it, and the place that it takes up, where callers are known.
+    pub caller: Option<Arc<Caller>>,
+    pub seat: Option<Seat>,
+    /// Its run was started.
+    pub started: bool,
+    /// Its caller was revoked before that: it must not be.
+    pub void: bool,
     /// The notice that its run waits at, and what the call carries.
     pub wants: Option<(u64, Vec<u8>)>,
     pub sent: Option<Sent>,
@@ -97,10 +106,13 @@
     /// The task that is being taken, until it has a seat.
     pub arriving: Option<Slot>,
     pub fingerprints: Fingerprints,
+    pub callers: Callers,
     /// Joins whose result is known, to be told to the module once it has returned.
     pub joined: VecDeque<(Serial, Option<Arc<[u8]>>)>,
     /// Calls that could not be begun, likewise.
     pub not_begun: VecDeque<Serial>,
+    /// Runs that were not started, likewise.
+    pub not_started: VecDeque<Serial>,
     pub link: Link,
     pub records: Records,
     pub fronts: Arc<dyn Fronts>,
@@ -217,11 +229,17 @@
         if let Some(slot) = self.slots.get_mut(task.index()).and_then(Option::take) {
             self.by_id.remove(&slot.id);
             self.by_serial.remove(&slot.serial);
+            self.callers.leave(slot.seat);
         }
     }
     fn run(&mut self, task: Handle) {
         let facts = self.facts.clone();
         let Some(slot) = self.slot(task) else { return };
+        if slot.void {
+            let serial = slot.serial;
+            return self.not_started.push_back(serial);
+        }
+        slot.started = true;
         let line = runtime::start(&slot.id, &facts.stages[slot.stage], &slot.body);
         let harmless = facts.told.stages[slot.stage].repeat == Repeat::Restartable;
         self.counters.runs_started.add();
--- a/crates/asterdale-identity/src/keyring.rs
+++ b/crates/asterdale-identity/src/keyring.rs
@@ -19,6 +19,7 @@
 use ed25519_dalek::VerifyingKey;
 use serde::{Deserialize, Serialize};
 
+use crate::planted::{self, Fault};
 use crate::token::{document, Claims, MOST_NAME};
 use crate::Why;
 
@@ -282,7 +283,7 @@
         }
         let Some(key) = self.keys.get(id) else { return self.seen.get(id).map(|_| Phase::Retired) };
         Some(match key {
-            _ if at >= key.until_ms => Phase::Retired,
+            _ if at >= key.until_ms && !planted::is(Fault::Overlap) => Phase::Retired,
             _ if at < key.from_ms => Phase::Announced,
             _ if key.ends => Phase::Outgoing,
             _ => Phase::Active,
--- a/crates/asterdale-identity/src/lib.rs
+++ b/crates/asterdale-identity/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cache;
 pub mod keyring;
 pub mod mint;
+pub mod planted;
 pub mod publish;
 pub mod refresh;
 pub mod rights;
--- a/crates/asterdale-identity/src/tests.rs
+++ b/crates/asterdale-identity/src/tests.rs
@@ -244,6 +244,10 @@
     let ahead = Ask { token: Some(short.as_bytes()), edge: 4, arrived_ms: NOW + 1e9 };
     assert!(identity.identify(NOW, ahead).is_ok());
     assert_eq!(ask(&mut identity, 0.0, &short), Err(Why::KeyEarly));
+    // A stamp from long ago is worth no more than the skew.
+    let old = |now| Ask { token: Some(short.as_bytes()), edge: 4, arrived_ms: now - 1e6 };
+    assert!(identity.identify(NOW + 1_999.0, old(NOW + 1_999.0)).is_ok());
+    assert_eq!(identity.identify(NOW + 2_000.0, old(NOW + 2_000.0)).unwrap_err().why, Why::Expired);
 }
 
 #[test]
--- a/crates/asterdale-identity/src/verdict.rs
+++ b/crates/asterdale-identity/src/verdict.rs
@@ -7,6 +7,7 @@
 use crate::budget::Budget;
 use crate::cache::{Digests, Proven, RefusedTokens};
 use crate::keyring::{Keyring, Offered, Refused};
+use crate::planted::{self, Fault};
 use crate::rights::{Denied, Rights, Role, Tenant};
 use crate::token::{self, Claims};
 
@@ -216,7 +217,7 @@
     /// [`Identity::revoked`].
     pub fn offer(&mut self, now: f64, set: &[u8]) -> Result<Offered, Refused> {
         let offered = self.ring.offer(now, set)?;
-        if offered == Offered::Adopted {
+        if offered == Offered::Adopted && !planted::is(Fault::Cache) {
             self.refused.clear();
             let ring = &self.ring;
             self.proven
@@ -244,7 +245,8 @@
     /// refused otherwise costs at most one signature, within what its edge node may cost.
     pub fn identify(&mut self, now: f64, ask: Ask<'_>) -> Result<Arc<Caller>, Denied> {
         let text = ask.token.ok_or(Why::Missing)?;
-        let at = ask.arrived_ms.min(now);
+        // What lay unread is judged by when it came; but no stamp lengthens a life by more than the skew.
+        let at = ask.arrived_ms.clamp(now - self.facts.skew_ms, now);
         if text.len() > token::MOST_TOKEN {
             return Err(Why::Malformed.into());
         }
@@ -253,6 +255,7 @@
             return Err(why.into());
         }
         let verdict = match self.proven.get(&digest) {
+            Some(caller) if planted::is(Fault::Cache) => Ok(caller.clone()),
             Some(caller) => {
                 let caller = caller.clone();
                 self.standing(now, at, &caller.key, &caller.claims).map(|_| caller).map_err(Denied::from)
--- /dev/null
+++ b/crates/asterdale-rig/src/caller.rs
@@ -0,0 +1,78 @@
+//! An edge node's connection, as the platform's protocol has it: opened when needed, made again when it ends; a
+//! request that crosses a close is sent once more; a refused connection proves that nothing ran.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use crate::scripted::{request, Answered, Edge};
+
+/// A connection that ends this soon after a request was written to it, without an answer, may have been closed
+/// while nothing was open: the request goes out once more.
+const CROSSES: Duration = Duration::from_millis(50);
+/// Longer than any caller waits for a whole answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum Fate {
+    /// With a whole answer.
+    Answered(Answered),
+    /// The connection was refused: nothing ran.
+    Refused,
+    /// The connection ended without a whole answer, or none came in all the time there is.
+    Lost,
+}
+
+/// One connection, with one request open at a time.
+pub struct Caller {
+    at: SocketAddr,
+    edge: Option<Edge>,
+    number: u16,
+}
+
+impl Caller {
+    /// Nothing is connected before the first request.
+    pub fn new(at: SocketAddr) -> Caller {
+        Caller { at, edge: None, number: 0 }
+    }
+
+    fn connect(&self) -> io::Result<Edge> {
+        let stream = TcpStream::connect_timeout(&self.at, Duration::from_secs(5))?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.set_nodelay(true)?;
+        Ok(Edge::on(stream))
+    }
+
+    /// Sends a request and waits for its end.
+    pub fn ask(&mut self, path: &str, fields: &[(&str, &str)], body: &[u8]) -> Fate {
+        for fresh in [false, true] {
+            if fresh || self.edge.is_none() {
+                match self.connect() {
+                    Ok(edge) => self.edge = Some(edge),
+                    Err(_) => return Fate::Refused,
+                }
+            }
+            let Some(edge) = &mut self.edge else { return Fate::Lost };
+            self.number = self.number % 30_000 + 1;
+            let began = Instant::now();
+            let sent = edge.try_send(&request(self.number, path, fields, body));
+            let got = sent.and_then(|()| edge.try_answer());
+            match got {
+                Ok(Some(answer)) if answer.request == self.number => return Fate::Answered(answer),
+                Ok(None) | Err(_) if began.elapsed() < CROSSES && !fresh => self.close(),
+                _ => {
+                    self.close();
+                    return Fate::Lost;
+                }
+            }
+        }
+        Fate::Lost
+    }
+
+    fn close(&mut self) {
+        if let Some(edge) = self.edge.take() {
+            let _ = edge.stream.shutdown(Shutdown::Both);
+        }
+    }
+}
--- /dev/null
+++ b/crates/asterdale-rig/src/demo.rs
@@ -0,0 +1,126 @@
+//! A demonstration: everything on loopback, a steady load, and what became of it. For a first look.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indicatif::{ProgressBar, ProgressStyle};
+use serde_json::json;
+
+use crate::caller::{Caller, Fate};
+use crate::process::{program, Daemon, Recipe};
+use crate::proofs::{histogram, quantiles};
+use crate::worker::Worker;
+use crate::{scripted, services, unix_ms};
+
+/// What is asked of the demonstration.
+pub struct Order {
+    /// Tasks a second.
+    pub rate: f64,
+    /// How long.
+    pub seconds: u64,
+}
+
+#[derive(Default)]
+struct Seen {
+    finished: AtomicU64,
+    rejected: AtomicU64,
+    abandoned: AtomicU64,
+    lost: AtomicU64,
+}
+
+/// Runs it; what to print at the end.
+pub fn run(order: &Order) -> Result<String, String> {
+    let told = |e: std::io::Error| e.to_string();
+    let worker = Worker::start(4, (5, 35)).map_err(told)?;
+    let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
+    let mut start = scripted::config(scripted::address(), worker.at, records, registry);
+    start["settings"]["extra"]["cores"] = json!(4);
+    for lane in 0..2 {
+        start["settings"]["lanes"][lane]["objectiveNs"] = json!(500_000_000);
+        start["settings"]["lanes"][lane]["deadlineNs"] = json!(2_000_000_000);
+    }
+    let at = start["listen"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
+    let mut daemon = Daemon::start(&Recipe { program: program(), start, plant: None })?;
+    daemon.listens(at)?;
+    let end = Instant::now() + Duration::from_secs(order.seconds);
+    let (seen, times) = (Arc::new(Seen::default()), Arc::new(Mutex::new(histogram())));
+    let stop = Arc::new(AtomicBool::new(false));
+    let lanes = (order.rate / 8.0).ceil().clamp(4.0, 256.0) as u64;
+    let threads: Vec<_> = (0..lanes)
+        .map(|lane| {
+            let (seen, times, stop) = (seen.clone(), times.clone(), stop.clone());
+            let every = Duration::from_secs_f64(lanes as f64 / order.rate);
+            thread::spawn(move || {
+                let mut caller = Caller::new(at);
+                let mut next = Instant::now() + every.mul_f64(lane as f64 / lanes as f64);
+                let mut n = 0u64;
+                while next < end && !stop.load(Relaxed) {
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                    next += every;
+                    n += 1;
+                    let (id, start) = (format!("{:016x}", lane << 32 | n), (unix_ms() as u64).to_string());
+                    let (edge, bid) = ((lane % 4).to_string(), n % 4 == 0);
+                    let fields = [
+                        ("HTTP_X_REQUEST_ID", id.as_str()),
+                        ("HTTP_X_REQUEST_START", &start),
+                        ("HTTP_X_CALLER", &edge),
+                        ("HTTP_X_TIMEOUT_MS", "2000"),
+                        ("HTTP_X_COST_MS", "20"),
+                        ("HTTP_X_MEMORY_KB", "8"),
+                        ("HTTP_IDEMPOTENCY_KEY", if bid { &id } else { "" }),
+                    ];
+                    let began = Instant::now();
+                    let fate = caller.ask(if bid { "/v1/bid" } else { "/v1/page" }, &fields, b"ask");
+                    let status = match &fate {
+                        Fate::Answered(answer) => answer.status(),
+                        Fate::Refused | Fate::Lost => "",
+                    };
+                    match status {
+                        "200" => {
+                            seen.finished.fetch_add(1, Relaxed);
+                            if let Ok(mut times) = times.lock() {
+                                let _ = times.record((began.elapsed().as_micros() as u64).max(1));
+                            }
+                        }
+                        "503" | "429" | "none" => drop(seen.rejected.fetch_add(1, Relaxed)),
+                        "" => drop(seen.lost.fetch_add(1, Relaxed)),
+                        _ => drop(seen.abandoned.fetch_add(1, Relaxed)),
+                    }
+                }
+            })
+        })
+        .collect();
+    let bar = ProgressBar::new(order.seconds * 10);
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {msg}") {
+        bar.set_style(style);
+    }
+    while Instant::now() < end {
+        thread::sleep(Duration::from_millis(100));
+        bar.inc(1);
+        bar.set_message(format!(
+            "{} finished, {} rejected",
+            seen.finished.load(Relaxed),
+            seen.rejected.load(Relaxed)
+        ));
+        if daemon.ended() {
+            stop.store(true, Relaxed);
+            return Err(format!("the daemon ended by itself:\n{}", daemon.log().join("\n")));
+        }
+    }
+    bar.finish_and_clear();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let (cpu_ms, kib) = daemon.usage();
+    if !daemon.leave(Duration::from_secs(10)) {
+        return Err(format!("the daemon did not leave well:\n{}", daemon.log().join("\n")));
+    }
+    let times = times.lock().map(|times| quantiles(&times)).unwrap_or_default();
+    let Seen { finished, rejected, abandoned, lost } = &*seen;
+    Ok(format!(
+        "finished {finished:?}, rejected {rejected:?}, abandoned {abandoned:?}, lost {lost:?}\n\
+         milliseconds of the finished: {times}\nthe daemon used {cpu_ms:.0} ms of CPU and has {kib} KiB"
+    ))
+}
--- /dev/null
+++ b/crates/asterdale-rig/src/issuer.rs
@@ -0,0 +1,131 @@
+//! A stand-in issuer: hands out signed sets of keys over HTTP, with tags, and can be slow, down, rolled back, or
+//! speak rubbish. It remembers when it handed out which set whole, which is what an oracle needs.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::services;
+use crate::unix_ms;
+
+/// How it behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// As it should.
+    Good,
+    /// Each reply takes this long, in milliseconds.
+    Slow(u64),
+    /// Connections end without a reply.
+    Down,
+    /// It hands out a set from long ago.
+    RolledBack,
+    /// It says things that are no set.
+    Rubbish,
+    /// It hands out a set that another root has signed.
+    Forged,
+}
+
+#[derive(Default)]
+struct State {
+    mood: Option<Mood>,
+    /// All sets, in the order of their numbers.
+    sets: Vec<(u64, String)>,
+    forged: String,
+    handed: Vec<(f64, u64)>,
+    asked: u64,
+    unchanged: u64,
+}
+
+/// The issuer.
+#[derive(Clone)]
+pub struct Issuer {
+    /// Where it listens.
+    pub at: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Issuer {
+    /// One without a set yet.
+    pub fn start() -> std::io::Result<Issuer> {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let shared = state.clone();
+        let at = services::serve(move |stream| answer(&stream, &shared))?;
+        Ok(Issuer { at, state })
+    }
+
+    /// It hands out this set from now on.
+    pub fn publish(&self, seq: u64, set: String) {
+        if let Ok(mut state) = self.state.lock() {
+            state.sets.push((seq, set));
+        }
+    }
+
+    /// What a forger would hand out.
+    pub fn forged(&self, set: String) {
+        if let Ok(mut state) = self.state.lock() {
+            state.forged = set;
+        }
+    }
+
+    /// It behaves like this from now on.
+    pub fn mood(&self, mood: Mood) {
+        if let Ok(mut state) = self.state.lock() {
+            state.mood = Some(mood);
+        }
+    }
+
+    /// When it handed out which set whole, as the last one: the time is after the last byte.
+    pub fn handed(&self) -> Vec<(f64, u64)> {
+        self.state.lock().map(|state| state.handed.clone()).unwrap_or_default()
+    }
+
+    /// How often it was asked, and how often the set had not changed.
+    pub fn asked(&self) -> (u64, u64) {
+        self.state.lock().map_or((0, 0), |state| (state.asked, state.unchanged))
+    }
+}
+
+fn answer(stream: &TcpStream, state: &Mutex<State>) {
+    let mut reader = BufReader::new(stream);
+    let Some((head, _)) = services::request(&mut reader) else { return };
+    let (mood, last, old, forged) = {
+        let Ok(mut state) = state.lock() else { return };
+        state.asked += 1;
+        let mood = state.mood.unwrap_or(Mood::Good);
+        (mood, state.sets.last().cloned(), state.sets.first().cloned(), state.forged.clone())
+    };
+    let (Some(last), Some(old)) = (last, old) else { return };
+    let mut out = stream;
+    let send = |mut out: &TcpStream, tag: &str, body: &str| {
+        let length = body.len();
+        out.write_all(
+            format!("HTTP/1.1 200 OK\r\nETag: \"{tag}\"\r\nContent-Length: {length}\r\n\r\n{body}")
+                .as_bytes(),
+        )
+        .is_ok()
+    };
+    match mood {
+        Mood::Down => {}
+        Mood::Rubbish => drop(out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"keys\":1")),
+        Mood::RolledBack => drop(send(stream, "old", &old.1)),
+        Mood::Forged => drop(send(stream, "forged", &forged)),
+        Mood::Good | Mood::Slow(_) => {
+            if let Mood::Slow(ms) = mood {
+                thread::sleep(Duration::from_millis(ms));
+            }
+            let known = format!("If-None-Match: \"{}\"", last.0);
+            if head.lines().any(|line| line == known) {
+                let _ = out.write_all(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n");
+                if let Ok(mut state) = state.lock() {
+                    state.unchanged += 1;
+                }
+            } else if send(stream, &last.0.to_string(), &last.1) {
+                if let Ok(mut state) = state.lock() {
+                    state.handed.push((unix_ms(), last.0));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/asterdale-rig/src/lib.rs
@@ -0,0 +1,20 @@
+//! The project's own rig: stand-ins for edge nodes, runtime, records service, registry and issuer, written after
+//! their public protocols; a demonstration; and proofs that run real daemons under load and faults drawn from a
+//! seed. All of it stays on loopback.
+
+pub mod caller;
+pub mod demo;
+pub mod flood;
+pub mod issuer;
+pub mod process;
+pub mod proofs;
+pub mod scripted;
+pub mod services;
+pub mod worker;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Unix milliseconds.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1e3)
+}
--- /dev/null
+++ b/crates/asterdale-rig/src/main.rs
@@ -0,0 +1,97 @@
+//! The rig's command line.
+
+use std::process::ExitCode;
+
+use asterdale_rig::proofs::{rotation, Order};
+use asterdale_rig::{demo, flood};
+use clap::{Parser, Subcommand, ValueEnum};
+use serde_json::json;
+
+/// Stand-ins, a demonstration and proofs, all on loopback.
+#[derive(Parser)]
+#[command(name = "asterdale-rig", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start everything, drive a steady load, and tell what became of it
+    Demo {
+        /// Tasks a second
+        #[arg(long, default_value_t = 150.0)]
+        rate: f64,
+        /// How long
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
+    /// Run a proof: load and faults from the seed; the last line is its figures, exit code 0 only if it held
+    Prove {
+        /// Which
+        name: Proof,
+        /// Load and faults are drawn from it
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long the load lasts
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// A fault to plant in the daemon: the proof must not hold then
+        #[arg(long)]
+        plant: Option<String>,
+    },
+    /// Measure what a flood of revoked retries costs the others
+    Flood {
+        /// Revoked retries a second
+        #[arg(long, default_value_t = 2000.0)]
+        flood: f64,
+        /// Good tasks a second
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        /// Seconds of each turn
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// The part of a core that the daemon has
+        #[arg(long, default_value_t = 0.2)]
+        share: f64,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Proof {
+    /// Keys rotate and are revoked under load
+    Rotation,
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Demo { rate, seconds } => demo::run(&demo::Order { rate: rate.clamp(1.0, 5000.0), seconds })
+            .map(|text| {
+                println!("{text}");
+                true
+            }),
+        Command::Prove { name: Proof::Rotation, seed, seconds, plant } => {
+            rotation::prove(&Order { seed, seconds, plant: plant.clone() }).map(|mut figures| {
+                let held = figures["held"] == true;
+                (figures["name"], figures["seed"]) = (json!("rotation"), json!(seed));
+                figures["plant"] = json!(plant);
+                println!("{figures}");
+                held
+            })
+        }
+        Command::Flood { flood, rate, seconds, share } => {
+            flood::measure(&flood::Order { flood, rate, seconds, share }).map(|figures| {
+                println!("{figures:#}");
+                true
+            })
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("asterdale-rig: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/asterdale-daemon/tests/stand_ins/mod.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -1,5 +1,7 @@
-//! A backend under test, and small stand-ins for all that it talks to, after the public protocols. Every wait
-//! is for something observed, and ends with a panic after `PATIENCE`.
+//! A backend under test, and small stand-ins for all that it talks to, which do what a test tells them, one
+//! step at a time. Every wait is for something observed, and ends with a panic after `PATIENCE`. Names say what
+//! things are; it is for tests alone.
+#![allow(missing_docs)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -81,7 +83,7 @@
     let name = format!("asterdale-test-{}-{:?}", std::process::id(), thread::current().id());
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, config.to_string()).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_asterdale"))
+    let child = Command::new(crate::process::program())
         .env_remove("ROUTER_NAME")
         .env_remove("ROUTER_LISTEN")
         .env("ROUTER_CONFIG", &file)
@@ -126,7 +128,7 @@
         loop {
             if let Ok(stream) = TcpStream::connect(self.listen) {
                 stream.set_read_timeout(Some(PATIENCE)).unwrap();
-                return Edge { stream, incoming: Incoming::default() };
+                return Edge::on(stream);
             }
             assert!(Instant::now() < end, "the backend does not listen; its log: {}", self.log());
             thread::sleep(Duration::from_millis(2));
@@ -143,6 +145,12 @@
         self.signal("-HUP");
     }
 
+    /// The start file with a change, as text; later changes build on it.
+    pub fn changed(&mut self, change: impl FnOnce(&mut Value)) -> String {
+        change(&mut self.config);
+        self.config.to_string()
+    }
+
     /// Moves all that the backend talks to to new addresses, where the runtime's notices go on; what was there
     /// before comes back.
     pub fn moved(&mut self) -> (Runtime, Records, Receiver<String>) {
@@ -211,7 +219,7 @@
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let mut reader = BufReader::new(&stream);
-            let Some((head, body)) = http(&mut reader) else { continue };
+            let Some((head, body)) = crate::services::request(&mut reader) else { continue };
             assert!(head.starts_with("PUT /v1/instances/n1 HTTP/1.1\r\n"), "{head}");
             let _ = (&stream).write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
             if sender.send(String::from_utf8(body).unwrap()).is_err() {
@@ -222,20 +230,6 @@
     (reports, at)
 }
 
-/// Reads one HTTP request.
-fn http(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "))?.parse().ok()?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
 /// The records service: hands each call to the test.
 pub struct Records {
     at: SocketAddr,
@@ -258,7 +252,7 @@
         let serve = move |stream: TcpStream, sender: Sender<Call>, again: Sender<TcpStream>| {
             thread::spawn(move || {
                 let mut reader = BufReader::new(stream);
-                if let Some((head, body)) = http(&mut reader) {
+                if let Some((head, body)) = crate::services::request(&mut reader) {
                     let _ = sender.send(Call { head, body, stream: reader.into_inner(), again });
                 }
             })
@@ -511,8 +505,17 @@
 }
 
 impl Edge {
+    /// A connection that is open already.
+    pub fn on(stream: TcpStream) -> Edge {
+        Edge { stream, incoming: Incoming::default() }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).unwrap();
+        self.try_send(bytes).unwrap();
+    }
+
+    pub fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes)
     }
 
     /// Sends a task of this stage.
@@ -524,29 +527,35 @@
 
     /// The next whole answer; `None` at the end of the connection.
     pub fn answer(&mut self) -> Option<Answered> {
+        self.try_answer().unwrap_or_else(|e| panic!("no answer came: {e}"))
+    }
+
+    /// The same; an answer that can't be read is an error, as is none in the time that the stream is given.
+    pub fn try_answer(&mut self) -> std::io::Result<Option<Answered>> {
+        let bad = |what: String| std::io::Error::new(std::io::ErrorKind::InvalidData, what);
         let mut stdout = Vec::new();
         loop {
-            while let Some(record) = self.incoming.take().unwrap() {
+            while let Some(record) = self.incoming.take().map_err(|e| bad(e.to_string()))? {
                 match record.kind {
                     kind::STDOUT => stdout.extend_from_slice(record.content),
                     kind::END_REQUEST => {
                         let at = stdout.windows(4).position(|four| four == b"\r\n\r\n");
                         let at = at.map_or(stdout.len(), |at| at + 4);
-                        return Some(Answered {
+                        return Ok(Some(Answered {
                             request: record.id,
-                            head: String::from_utf8(stdout[..at].to_vec()).unwrap(),
+                            head: String::from_utf8(stdout[..at].to_vec()).map_err(|e| bad(e.to_string()))?,
                             body: stdout[at..].to_vec(),
-                            state: record.content[4],
-                        });
+                            state: record.content.get(4).copied().unwrap_or(u8::MAX),
+                        }));
                     }
-                    other => panic!("a record of type {other}"),
+                    other => return Err(bad(format!("a record of type {other}"))),
                 }
             }
             match self.stream.read(self.incoming.room()) {
-                Ok(0) => return None,
+                Ok(0) => return Ok(None),
                 Ok(count) => self.incoming.filled(count),
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
-                Err(e) => panic!("no answer came: {e}"),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Ok(None),
+                Err(e) => return Err(e),
             }
         }
     }
--- /dev/null
+++ b/crates/asterdale-rig/src/worker.rs
@@ -0,0 +1,146 @@
+//! A runtime that works by itself: it runs what is started for as long as the task's id says, and counts every
+//! run, which is how proofs see what ran twice or should not have run.
+
+use std::collections::{BinaryHeap, HashMap};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use serde_json::{json, Value};
+
+/// A run that will be over.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Due(std::cmp::Reverse<Instant>, String);
+
+#[derive(Default)]
+struct State {
+    link: Option<TcpStream>,
+    notices: Vec<Value>,
+    due: BinaryHeap<Due>,
+    running: HashMap<String, Instant>,
+    runs: HashMap<String, u32>,
+}
+
+/// The worker.
+#[derive(Clone)]
+pub struct Worker {
+    /// Where it listens.
+    pub at: SocketAddr,
+    cores: usize,
+    /// Runs last from the first to the second, in milliseconds.
+    lasts: (u64, u64),
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+/// What the run of this task results in: everybody can tell whose it is.
+pub fn result(id: &str) -> Vec<u8> {
+    format!("result of {id}").into_bytes()
+}
+
+impl Worker {
+    /// One with so many cores, whose runs last this long.
+    pub fn start(cores: usize, lasts: (u64, u64)) -> std::io::Result<Worker> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let worker = Worker { at: listener.local_addr()?, cores, lasts, shared: Arc::default() };
+        let (linking, ending) = (worker.clone(), worker.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let linked = linking.clone();
+                thread::spawn(move || linked.serve(stream));
+            }
+        });
+        thread::spawn(move || ending.end());
+        Ok(worker)
+    }
+
+    /// How often each task was started, by its id.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.shared.0.lock().map(|state| state.runs.clone()).unwrap_or_default()
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(writer) = stream.try_clone() else { return };
+        if let Ok(mut state) = self.shared.0.lock() {
+            state.link = Some(writer);
+        }
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            let Ok(line) = serde_json::from_str::<Value>(&line) else { return };
+            let Ok(mut state) = self.shared.0.lock() else { return };
+            self.take(&mut state, &line);
+        }
+    }
+
+    fn take(&self, state: &mut State, line: &Value) {
+        let id = line["rid"].as_str().unwrap_or_default();
+        match line["t"].as_str().unwrap_or_default() {
+            "sync" => {
+                let no = line["no"].as_u64().unwrap_or(0) as usize;
+                if no == 0 {
+                    // A backend that starts anew: notices are numbered from 1 again, and nothing runs for it.
+                    state.notices.clear();
+                    state.running.clear();
+                    state.due.clear();
+                }
+                state.say(&json!({"t": "ready", "status": "LOADED", "time_ms": 5}));
+                let missed = state.notices.iter().skip(no).cloned().collect::<Vec<_>>();
+                missed.iter().for_each(|notice| state.say(notice));
+            }
+            "gauges" => {
+                let (running, cores) = (state.running.len() as f64, self.cores as f64);
+                let gauges = [(running / cores).min(1.0), running, 0.1, 1.0];
+                state.say(&json!({"t": "load", "mark": line["mark"], "v": gauges}));
+            }
+            "selftest" => state.say(&json!({"t": "verdict", "mark": line["mark"], "status": "PASS"})),
+            "start" if !state.running.contains_key(id) => {
+                *state.runs.entry(id.to_owned()).or_default() += 1;
+                let (least, most) = self.lasts;
+                let spread =
+                    id.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+                let end = Instant::now() + Duration::from_millis(least + spread % (most - least + 1));
+                state.running.insert(id.to_owned(), end);
+                state.due.push(Due(std::cmp::Reverse(end), id.to_owned()));
+                self.shared.1.notify_one();
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends runs when they are due.
+    fn end(&self) {
+        let (lock, wake) = &*self.shared;
+        let Ok(mut state) = lock.lock() else { return };
+        loop {
+            let now = Instant::now();
+            let wait = match state.due.peek() {
+                Some(Due(at, _)) if at.0 <= now => {
+                    let Some(Due(_, id)) = state.due.pop() else { continue };
+                    if state.running.remove(&id).is_some() {
+                        let body = STANDARD.encode(result(&id));
+                        let no = state.notices.len() + 1;
+                        let end = json!({"t": "end", "no": no, "rid": id, "status": "PASS", "time_ms": 1, "b64": body});
+                        state.say(&end);
+                        state.notices.push(end);
+                    }
+                    continue;
+                }
+                Some(Due(at, _)) => at.0 - now,
+                None => Duration::from_secs(3600),
+            };
+            let Ok((woken, _)) = wake.wait_timeout(state, wait) else { return };
+            state = woken;
+        }
+    }
+}
+
+impl State {
+    fn say(&mut self, line: &Value) {
+        if let Some(mut link) = self.link.as_ref() {
+            let _ = link.write_all(format!("{line}\n").as_bytes());
+        }
+    }
+}
