--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -3,7 +3,7 @@
 //! answer any more, at the end of the reader.
 
 use std::collections::HashMap;
-use std::io::{self, Read};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
@@ -14,6 +14,7 @@
 use asterdale_fastcgi::{ended, refusal, unknown_type, values_result};
 use asterdale_fastcgi::{Incoming, Malformed, Requests, Step, Whole};
 use asterdale_host::counters::Counters;
+use asterdale_host::host::unix_ms;
 use asterdale_host::log::{Kind, Log};
 use asterdale_host::mail::{Fronts, Mail, Reply, Request};
 use crossbeam_channel::{Receiver, Sender};
@@ -21,6 +22,9 @@
 use crate::head::{self, Head};
 use crate::peer::{self, encoded, Outgoing, Peer, Writer};
 use crate::start::Start;
+#[cfg(feature = "tls")]
+use crate::tls::Doorkeeper;
+use crate::wire::Wire;
 
 /// Open requests that a connection carries, by the platform's protocol.
 const MOST_OPEN: usize = 32;
@@ -46,7 +50,7 @@
 
 /// A connection, as long as it is open.
 struct Open {
-    stream: Weak<TcpStream>,
+    stream: Weak<Wire>,
     peer: Weak<Peer>,
     /// When it was accepted, in milliseconds since the edge began.
     born: u64,
@@ -62,14 +66,28 @@
             peer.hushed.store(true, Ordering::Release);
         }
         if let Some(stream) = self.stream.upgrade() {
-            let _ = stream.shutdown(Shutdown::Read);
+            stream.shutdown(Shutdown::Read);
         }
     }
 }
 
-/// What all connections share.
+/// What tells one listener's connections from another's.
+#[derive(Clone)]
+pub struct Door {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its connections are numbered from here on: no two of the process have the same number.
+    pub first: u64,
+    /// Of the connections that there is room for, it has one in so many.
+    pub share: usize,
+    /// Begins the TLS of its connections; without it they are plain.
+    #[cfg(feature = "tls")]
+    pub tls: Option<Arc<Doorkeeper>>,
+}
+
+/// What all connections of a listener share.
 pub struct Edge {
-    listen: SocketAddr,
+    door: Door,
     facts: Arc<Facts>,
     /// It matters who is calling.
     asked_who: bool,
@@ -128,7 +146,7 @@
     fn close(&self) {
         self.closing.store(true, Ordering::SeqCst);
         // The listener's thread waits in accept: a connection wakes it, which is dropped at once.
-        let _ = TcpStream::connect_timeout(&self.listen, Duration::from_millis(100));
+        let _ = TcpStream::connect_timeout(&self.door.listen, Duration::from_millis(100));
     }
 
     fn hush(&self) {
@@ -151,18 +169,19 @@
 }
 
 impl Edge {
-    /// An edge that will listen where the start file says.
+    /// An edge that will listen at this door.
     pub fn new(
         start: &Start,
+        door: Door,
         host: Sender<Mail>,
         writer: Sender<Outgoing>,
         counters: Arc<Counters>,
         log: Log,
+        began: Instant,
     ) -> Edge {
         let facts = start.facts.clone();
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(1000.0, f64::max);
         Edge {
-            listen: start.listen,
             host,
             writer,
             counters,
@@ -174,24 +193,26 @@
                 .min(start.descriptors.saturating_sub(64))
                 .max(start.descriptors / 2)
                 .min(start.memory / 2 / 65_536)
+                .div_euclid(door.share)
                 .max(1),
             // Many times as many as edge nodes keep where they come again.
-            most_quiet: (start.descriptors / 8).max(16),
+            most_quiet: (start.descriptors / 8 / door.share).max(16),
             unread: AtomicUsize::new(0),
-            most_unread: start.memory / 8,
+            most_unread: start.memory / 8 / door.share,
             longest: Duration::from_millis(longest as u64),
             idle_ms: AtomicU64::new(facts.told.idle_ms as u64),
             facts,
             asked_who: start.identity.is_some(),
             closing: AtomicBool::new(false),
             connections: Mutex::default(),
-            began: Instant::now(),
+            began,
+            door,
         }
     }
 
     /// The listener, so that the program can end at once if the address is taken.
     pub fn bind(&self) -> io::Result<TcpListener> {
-        TcpListener::bind(self.listen)
+        TcpListener::bind(self.door.listen)
     }
 
     /// Gives up the connections that serve least until no more than so many are quiet, with nothing open: first
@@ -240,7 +261,11 @@
             let busy = peer.open.load(Ordering::Acquire) > 0;
             let quiet = now.saturating_sub(peer.last());
             let half = peer.half.load(Ordering::Relaxed);
-            if !peer.asked.load(Ordering::Relaxed) && now >= open.born + FIRST {
+            let until_ms = open.stream.upgrade().and_then(|wire| Some(wire.certificate()?.until_ms));
+            if until_ms.is_some_and(|until| unix_ms() >= until) {
+                // Nothing of it would be let in any more; what is open on it is still answered.
+                self.counters.connections_lapsed.add();
+            } else if !peer.asked.load(Ordering::Relaxed) && now >= open.born + FIRST {
                 self.counters.connections_silent.add();
             } else if !busy && half && quiet >= longest {
                 self.counters.connections_malformed.add();
@@ -260,7 +285,7 @@
     /// Accepts connections until the edge closes.
     pub fn accept(self: &Arc<Edge>, listener: &TcpListener) {
         static FAULT: Kind = Kind::new();
-        let mut next = 0;
+        let mut next = self.door.first;
         loop {
             let closing = self.closing.load(Ordering::SeqCst);
             if closing && listener.set_nonblocking(true).is_err() {
@@ -300,10 +325,24 @@
         }
     }
 
+    #[cfg(feature = "tls")]
+    fn wire(&self, stream: TcpStream) -> io::Result<Wire> {
+        match &self.door.tls {
+            Some(doorkeeper) => doorkeeper.begin(stream).map(|session| Wire::Tls(Box::new(session))),
+            None => Ok(Wire::Plain(stream)),
+        }
+    }
+
+    #[cfg(not(feature = "tls"))]
+    fn wire(&self, stream: TcpStream) -> io::Result<Wire> {
+        Ok(Wire::Plain(stream))
+    }
+
     /// Starts the reader of a connection.
     fn begin(self: &Arc<Edge>, connection: u64, stream: TcpStream, waits: Instant) -> io::Result<()> {
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
+        let stream = self.wire(stream)?;
         peer::prepare(&stream)?;
         let (stream, born) = (Arc::new(stream), self.clock());
         let (peer, free) = Peer::new(connection, stream.clone(), self.writer.clone(), born);
@@ -326,7 +365,7 @@
     }
 
     /// The one place where a connection is given back: once nobody holds its peer, its last answer written.
-    fn end(&self, connection: u64, stream: &TcpStream, free: &Receiver<()>, end: End) {
+    fn end(&self, connection: u64, stream: &Wire, free: &Receiver<()>, end: End) {
         static MALFORMED: Kind = Kind::new();
         static CROWDED: Kind = Kind::new();
         match end {
@@ -351,11 +390,11 @@
         let _ = free.recv();
         // What the peer has sent meanwhile is read away: closing over unread bytes would reset the
         // connection and could take an answer along that it has not read yet.
-        let _ = stream.shutdown(Shutdown::Write);
-        let _ = stream.set_read_timeout(Some(Duration::from_millis(50)));
-        let (mut rest, mut reader) = ([0; 1024], stream);
+        stream.finish();
+        let _ = stream.read_within(Duration::from_millis(50));
+        let mut rest = [0; 1024];
         for _ in 0..64 {
-            if !matches!(reader.read(&mut rest), Ok(1..)) {
+            if !matches!(stream.read(&mut rest), Ok(1..)) {
                 break;
             }
         }
@@ -379,13 +418,7 @@
     }
 
     /// The reader's thread, until the connection's reading ends.
-    fn read(
-        &self,
-        mut stream: &TcpStream,
-        peer: &Arc<Peer>,
-        unread: &mut Unread<'_>,
-        mut since: Instant,
-    ) -> End {
+    fn read(&self, stream: &Wire, peer: &Arc<Peer>, unread: &mut Unread<'_>, mut since: Instant) -> End {
         let (mut incoming, mut requests) = (Incoming::default(), Requests::default());
         let (mut first, mut told, mut rounds) = (true, 0, 0);
         loop {
@@ -400,7 +433,7 @@
                     Ok(Step::Nothing) => continue,
                     Ok(Step::Whole(id, whole)) => {
                         let keep = whole.keep;
-                        match self.whole(peer, id, whole, since) {
+                        match self.whole(stream, peer, id, whole, since) {
                             Ok(true) if keep => continue,
                             Ok(true) => return End::Quiet,
                             Ok(false) => encoded(id, Reply::Senseless),
@@ -448,7 +481,7 @@
                     let open = peer.open.load(Ordering::Acquire) > 0 || Arc::strong_count(peer) > 1;
                     rounds += 1;
                     if !(open || half && rounds < MOST_ROUNDS) {
-                        let _ = stream.shutdown(Shutdown::Write);
+                        stream.finish();
                         return End::Quiet;
                     }
                     thread::sleep(CROSSING);
@@ -468,12 +501,19 @@
     }
 
     /// A request has come whole: a health check or a task goes to the host; `false` for what makes no sense.
-    fn whole(&self, peer: &Arc<Peer>, id: u16, whole: Whole, since: Instant) -> Result<bool, Malformed> {
+    fn whole(
+        &self,
+        stream: &Wire,
+        peer: &Arc<Peer>,
+        id: u16,
+        whole: Whole,
+        since: Instant,
+    ) -> Result<bool, Malformed> {
         let mail = match head::read(&whole.params, &self.facts, self.asked_who)? {
             Head::Check { deep } => Mail::Check { client: peer.clone(), request: id, deep },
             Head::Task(asked, token) => {
-                let (client, body) = (peer.clone(), whole.body);
-                Mail::Task(Box::new(Request { asked, token, body, client, request: id, since }))
+                let (client, body, certificate) = (peer.clone(), whole.body, stream.certificate());
+                Mail::Task(Box::new(Request { asked, token, certificate, body, client, request: id, since }))
             }
             Head::Senseless(field) => {
                 self.makes_no_sense(field);
@@ -500,7 +540,7 @@
     use super::*;
     use crossbeam_channel::{bounded, unbounded};
     use serde_json::json;
-    use std::io::Write;
+    use std::io::{Read, Write};
 
     /// A check as an edge node sends it; its path is the one parameter.
     fn check(request: u8) -> Vec<u8> {
@@ -519,7 +559,14 @@
         let start = crate::start::read(start.to_string().as_bytes(), None, None).unwrap();
         let ((host, mailbox), (writer, answers)) = (bounded(9), unbounded());
         let (log, _guard) = Log::to_stderr("n", false, slog::Level::Info);
-        let edge = Arc::new(Edge::new(&start, host, writer, Arc::default(), log));
+        let door = Door {
+            listen: start.listen,
+            first: 0,
+            share: 1,
+            #[cfg(feature = "tls")]
+            tls: None,
+        };
+        let edge = Arc::new(Edge::new(&start, door, host, writer, Arc::default(), log, Instant::now()));
         let writer = edge.writer(answers);
         thread::spawn(move || writer.serve());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -8,19 +8,23 @@
 mod keys;
 mod peer;
 mod start;
+#[cfg(feature = "tls")]
+mod tls;
 #[cfg(feature = "tools")]
 mod token;
+mod wire;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
+use std::time::Instant;
 
 use asterdale_host::counters::Counters;
 use asterdale_host::host::{unix_ms, Begin};
 use asterdale_host::issuer::{self, Nudge};
 use asterdale_host::log::{Kind, Log};
-use asterdale_host::mail::Mail;
+use asterdale_host::mail::{Fronts, Mail};
 use asterdale_host::records::Records;
 use asterdale_host::{registry, runtime, Around, Host};
 use asterdale_identity::Identity;
@@ -28,9 +32,11 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
-use edge::Edge;
+use edge::{Door, Edge};
 use start::faults::Fault;
 use start::{Source, Start};
+#[cfg(feature = "tls")]
+use tls::Doorkeeper;
 
 /// Mail that waits for the host. Whoever sends more waits: a connection's reader reads no further.
 const WAITING: usize = 4096;
@@ -44,19 +50,64 @@
     thread.spawn(work).map(drop).map_err(|e| format!("no thread for {name}: {e}"))
 }
 
+/// All listeners together, as the host sees them.
+struct Doors(Vec<Arc<Edge>>);
+
+impl Fronts for Doors {
+    fn close_idle(&self, after_ms: f64) {
+        self.0.iter().for_each(|edge| edge.close_idle(after_ms));
+    }
+
+    fn open(&self) -> usize {
+        self.0.iter().map(|edge| edge.open()).sum()
+    }
+
+    fn close(&self) {
+        self.0.iter().for_each(|edge| edge.close());
+    }
+
+    fn hush(&self) {
+        self.0.iter().for_each(|edge| edge.hush());
+    }
+}
+
+/// The listeners that the start file asks for. Two share the room that there is.
+#[cfg(feature = "tls")]
+fn doors(start: &Start) -> Result<Vec<Door>, String> {
+    let share = 1 + usize::from(start.tls.is_some());
+    let mut doors = vec![Door { listen: start.listen, first: 0, share, tls: None }];
+    if let Some(tls) = &start.tls {
+        let doorkeeper = Doorkeeper::new(tls).map_err(|faults| one_line(&faults))?;
+        doors.push(Door { listen: tls.listen, first: 1 << 48, share, tls: Some(Arc::new(doorkeeper)) });
+    }
+    Ok(doors)
+}
+
+#[cfg(not(feature = "tls"))]
+fn doors(start: &Start) -> Result<Vec<Door>, String> {
+    Ok(vec![Door { listen: start.listen, first: 0, share: 1 }])
+}
+
+fn one_line(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
 /// What has to hear of a start file that is read again, but for the host.
 struct Rereading {
     file: Option<PathBuf>,
     issuer: Option<Sender<Nudge>>,
+    #[cfg(feature = "tls")]
+    doorkeeper: Option<Arc<Doorkeeper>>,
 }
 
 impl Rereading {
     /// Reads it, and hands on what can change while the program serves.
     fn read(&self, host: &Sender<Mail>) -> Result<bool, String> {
-        let start = told(self.file.as_deref()).map_err(|faults| {
-            let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            all.join("; ")
-        })?;
+        let start = told(self.file.as_deref()).map_err(|faults| one_line(&faults))?;
+        #[cfg(feature = "tls")]
+        if let (Some(doorkeeper), Some(tls)) = (&self.doorkeeper, &start.tls) {
+            doorkeeper.reload(tls).map_err(|faults| one_line(&faults))?;
+        }
         let keys = start.identity.as_ref().map(|identity| identity.keys.clone());
         let facts = start.identity.map(|identity| Box::new(identity.facts));
         let mut sent = host.send(Mail::Retold(start.peers, facts)).is_ok();
@@ -104,28 +155,51 @@
     let (moves, moved) = bounded(WORDS);
     let (out, answers) = unbounded();
     let counters = Arc::new(Counters::default());
-    let edge = Arc::new(Edge::new(&start, mail.clone(), out, counters.clone(), log.clone()));
+    let doors = doors(&start)?;
+    let began = Instant::now();
+    let edge = |door: &Door| {
+        let (mail, out) = (mail.clone(), out.clone());
+        Arc::new(Edge::new(&start, door.clone(), mail, out, counters.clone(), log.clone(), began))
+    };
+    let edges: Vec<Arc<Edge>> = doors.iter().map(edge).collect();
     // Before anybody can see that the program is there: a signal that comes sooner would end it.
     let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
-    let listener = edge.bind().map_err(|e| format!("listen: {}: {e}", start.listen))?;
+    let mut listeners = Vec::new();
+    for (edge, door) in edges.iter().zip(&doors) {
+        listeners.push(edge.bind().map_err(|e| format!("listen: {}: {e}", door.listen))?);
+    }
     let (identity, issuer) = callers(&start, &mail, &counters, log)?;
     let nudges = issuer.clone();
     let (host, counted, lines) = (mail.clone(), counters.clone(), log.clone());
-    let again = Rereading { file, issuer };
+    let again = Rereading {
+        file,
+        issuer,
+        #[cfg(feature = "tls")]
+        doorkeeper: doors.iter().find_map(|door| door.tls.clone()),
+    };
     spawn("signals", move || signals(caught, &host, &again, &counted, &lines))?;
     let (host, counted, lines, at) = (mail.clone(), counters.clone(), log.clone(), start.peers.runtime);
     spawn("runtime", move || runtime::link(at, &moved, &host, &counted, &lines))?;
     let (counted, lines, name, at) =
         (counters.clone(), log.clone(), start.name.clone(), start.peers.registry);
     spawn("registry", move || registry::report(at, &name, &for_list, &counted, &lines))?;
-    let writer = edge.writer(answers);
+    let writer = edges[0].writer(answers);
     spawn("writer", move || writer.serve())?;
-    let keeping = edge.clone();
-    spawn("keeper", move || keeping.keep())?;
-    let listening = edge.clone();
-    spawn("listener", move || listening.accept(&listener))?;
+    for (edge, listener) in edges.iter().zip(listeners) {
+        let (keeping, listening) = (edge.clone(), edge.clone());
+        spawn("keeper", move || keeping.keep())?;
+        spawn("listener", move || listening.accept(&listener))?;
+    }
     let records = Records::new(start.peers.records, mail, counters.clone());
-    let around = Around { records, fronts: edge, list, moves, issuer: nudges, counters, log: log.clone() };
+    let around = Around {
+        records,
+        fronts: Arc::new(Doors(edges)),
+        list,
+        moves,
+        issuer: nudges,
+        counters,
+        log: log.clone(),
+    };
     let Start { facts, memory, stop_ms, peers, .. } = start;
     let mut host = Host::new(Begin { facts, memory, stop_ms, peers, identity }, around);
     slog::info!(log.lines, "host: serving"; "at" => %start.listen);
--- a/crates/asterdale-daemon/src/peer.rs
+++ b/crates/asterdale-daemon/src/peer.rs
@@ -4,18 +4,19 @@
 
 use std::collections::HashMap;
 use std::io::{self, IoSlice};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use asterdale_fastcgi::{ended, refusal, Answer};
-use asterdale_host::gather;
 use asterdale_host::mail::{Client, Mail, Reply};
 use asterdale_identity::Kind;
 use crossbeam_channel::{unbounded, Receiver, Sender};
 
+use crate::wire::Wire;
+
 /// Answers that one round of the writer takes at most.
 const GATHERED: usize = 256;
 /// A way back that takes nothing for so long is full: the least that the system tells apart.
@@ -27,7 +28,7 @@
 pub struct Peer {
     /// A number that no other connection of this process has.
     pub connection: u64,
-    stream: Arc<TcpStream>,
+    stream: Arc<Wire>,
     writer: Sender<Outgoing>,
     /// Requests that went to the host and whose answer the writer has not come to.
     pub open: AtomicUsize,
@@ -57,7 +58,7 @@
     /// A peer on a new connection, and what tells by its end that nobody holds the peer any more.
     pub fn new(
         connection: u64,
-        stream: Arc<TcpStream>,
+        stream: Arc<Wire>,
         writer: Sender<Outgoing>,
         now: u64,
     ) -> (Arc<Peer>, Receiver<()>) {
@@ -88,7 +89,7 @@
     }
 
     fn write(&self, pieces: &mut [IoSlice<'_>], host: &Sender<Mail>) -> Result<(), usize> {
-        match gather::write(&self.stream, pieces) {
+        match self.stream.write(pieces) {
             Ok(()) => Ok(()),
             Err((written, e)) if e.kind() == io::ErrorKind::WouldBlock => Err(written),
             Err(_) => {
@@ -100,7 +101,7 @@
 
     fn broke(&self, host: &Sender<Mail>) {
         // Wakes the reader, whose end gives the connection back.
-        let _ = self.stream.shutdown(Shutdown::Both);
+        self.stream.shutdown(Shutdown::Both);
         let _ = host.send(Mail::Gone(self.connection));
     }
 }
@@ -214,7 +215,7 @@
 
     /// A writer for a connection whose way back is full. It ends with the connection.
     fn one_of_its_own(&self, peer: &Arc<Peer>) -> io::Result<Own> {
-        peer.stream.set_write_timeout(Some(self.longest))?;
+        peer.stream.write_within(self.longest)?;
         let (bytes, waiting) = unbounded::<(Arc<Peer>, Vec<u8>)>();
         let host = self.host.clone();
         let own = thread::Builder::new().name("slow writer".to_owned()).stack_size(STACK);
@@ -232,22 +233,22 @@
 }
 
 /// Lets writes on this connection take no longer than the shared writer may wait.
-pub fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_write_timeout(Some(FULL))
+pub fn prepare(stream: &Wire) -> io::Result<()> {
+    stream.write_within(FULL)
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
     use std::io::Read;
-    use std::net::TcpListener;
+    use std::net::{TcpListener, TcpStream};
 
     #[test]
     fn a_peer_that_reads_nothing_holds_up_nobody_else_and_loses_nothing() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (writer, answers) = unbounded();
         let pair = |connection| {
-            let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let near = Wire::Plain(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
             prepare(&near).unwrap();
             let (peer, _) = Peer::new(connection, Arc::new(near), writer.clone(), 0);
             let far = listener.accept().unwrap().0;
--- a/crates/asterdale-daemon/src/start/file.rs
+++ b/crates/asterdale-daemon/src/start/file.rs
@@ -86,6 +86,45 @@
     pub settings: Option<Told>,
     /// Whether callers must be known; absent: nobody is asked.
     pub identity: Option<Callers>,
+    /// A second listener, for edge nodes that show a certificate. Absent: there is none.
+    pub tls: Option<Tls>,
+}
+
+/// A listener for edge nodes that show a certificate. Its files are read at the start and at SIGHUP.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[cfg_attr(feature = "tools", derive(JsonSchema))]
+#[serde(default, deny_unknown_fields)]
+pub struct Tls {
+    /// Where they connect.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub listen: Option<Address>,
+    /// This server's certificate and those that lead to its root, in PEM.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub certificate: Option<String>,
+    /// Its private key, in PEM.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub key: Option<String>,
+    /// Certificates of those who sign the edge nodes', in PEM.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub clients: Option<String>,
+}
+
+/// For whom a certificate speaks that has this name.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[cfg_attr(feature = "tools", derive(JsonSchema))]
+#[serde(default, deny_unknown_fields)]
+pub struct Named {
+    /// One of its alternative names, with its kind before it: `dns:`, `uri:` or `email:`.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub name: Option<String>,
+    /// The tenant.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub tenant: Option<String>,
+    /// The subject; the name if absent.
+    pub subject: Option<String>,
+    /// What it is there for.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub roles: Option<Vec<String>>,
 }
 
 /// What this process may take up.
@@ -263,6 +302,8 @@
     /// For whom people may come.
     #[cfg_attr(feature = "tools", schemars(required))]
     pub tenants: Option<Vec<Tenant>>,
+    /// For whom certificates speak, where there is a section `tls`. The first that fits holds.
+    pub certificates: Option<Vec<Named>>,
 }
 
 /// Where sets of keys come from: one of the two.
--- a/crates/asterdale-daemon/src/start/mod.rs
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -14,7 +14,7 @@
 use asterdale_host::mail::Peers;
 use asterdale_identity::keyring::{public_key, MOST_SET};
 use asterdale_identity::rights::{Role, Tenant, MOST_NAMED_ROLES, MOST_TENANTS};
-use asterdale_identity::Facts as IdentityFacts;
+use asterdale_identity::{Facts as IdentityFacts, Named};
 use serde_json::Value;
 
 use faults::{Fault, Faults};
@@ -39,6 +39,22 @@
     pub facts: Arc<Facts>,
     /// Who may call; `None` where nobody is asked.
     pub identity: Option<Identity>,
+    /// The listener for edge nodes that show a certificate, where there is one.
+    #[cfg_attr(not(feature = "tls"), expect(dead_code, reason = "such a file is a fault there"))]
+    pub tls: Option<Tls>,
+}
+
+/// A listener for edge nodes that show a certificate: where, and the paths of its files.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tls {
+    /// Where they connect.
+    pub listen: SocketAddr,
+    /// This server's certificates.
+    pub certificate: String,
+    /// Its private key.
+    pub key: String,
+    /// Certificates of those who sign the edge nodes'.
+    pub clients: String,
 }
 
 /// Who may call, and where the keys come from.
@@ -134,12 +150,27 @@
     }
     told(&mut faults, &file);
     let facts = asterdale_facts::from_json(seed, &all["settings"]);
+    let tls = file.tls.and_then(|section| tls(&mut faults, section));
+    if tls.is_some() && file.identity.is_none() {
+        faults.add("tls", "means nothing without identity, which says for whom certificates speak");
+    }
     let identity = file.identity.and_then(|callers| identity(&mut faults, callers, seed, &facts));
     if !faults.0.is_empty() {
         return Err(faults.0);
     }
     let (memory, descriptors) = (memory as usize, descriptors as usize);
-    Ok(Start { name, listen, peers, stop_ms, memory, descriptors, facts: Arc::new(facts), identity })
+    Ok(Start { name, listen, peers, stop_ms, memory, descriptors, facts: Arc::new(facts), identity, tls })
+}
+
+fn tls(faults: &mut Faults, section: file::Tls) -> Option<Tls> {
+    if !cfg!(feature = "tls") {
+        faults.add("tls", "this build has no TLS");
+    }
+    let listen = faults.wanted("tls.listen", section.listen);
+    let certificate = faults.wanted("tls.certificate", section.certificate);
+    let key = faults.wanted("tls.key", section.key);
+    let clients = faults.wanted("tls.clients", section.clients);
+    Some(Tls { listen: listen?.0, certificate: certificate?, key: key?, clients: clients? })
 }
 
 /// What the decisions are told must name its stages and the machine; the rest may be zero.
@@ -208,6 +239,7 @@
     let roles = roles(faults, callers.roles, told);
     let known: HashSet<&str> = roles.iter().map(|role| role.name.as_str()).collect();
     let tenants = tenants(faults, callers.tenants, &known, told);
+    let certificates = certificates(faults, callers.certificates, &known, &tenants);
     let keys = faults.wanted("identity.keys", callers.keys)?;
     let keys = match (keys.file, keys.fetch) {
         (Some(path), None) => Source::File(path),
@@ -237,6 +269,7 @@
         in_all: callers.signatures.map_or(400.0, |n| n.0),
         roles,
         tenants,
+        certificates,
     };
     Some(Identity { facts, keys })
 }
@@ -298,6 +331,37 @@
     given.into_iter().enumerate().map(tenant).collect()
 }
 
+fn certificates(
+    faults: &mut Faults,
+    given: Option<Vec<file::Named>>,
+    roles: &HashSet<&str>,
+    tenants: &[Tenant],
+) -> Vec<Named> {
+    let given = given.unwrap_or_default();
+    names(faults, "identity.certificates", given.iter().map(|named| named.name.as_ref()));
+    let named = |(n, named): (usize, file::Named)| {
+        let path = format!("identity.certificates[{n}]");
+        let mut name = named.name.unwrap_or_default();
+        if !["dns:", "uri:", "email:"].iter().any(|kind| name.starts_with(kind)) {
+            faults.add(format!("{path}.name"), "dns:, uri: or email: and a name is wanted");
+        }
+        if name.starts_with("dns:") {
+            name.make_ascii_lowercase();
+        }
+        let tenant = faults.wanted(&format!("{path}.tenant"), named.tenant).unwrap_or_default();
+        if !tenants.iter().any(|known| known.name == tenant) {
+            faults.add(format!("{path}.tenant"), format!("{tenant:?} is no name in identity.tenants"));
+        }
+        let may = faults.wanted(&format!("{path}.roles"), named.roles).unwrap_or_default();
+        for (m, role) in may.iter().enumerate().filter(|(_, role)| !roles.contains(role.as_str())) {
+            faults.add(format!("{path}.roles[{m}]"), format!("{role:?} is no name in identity.roles"));
+        }
+        let subject = named.subject.unwrap_or_else(|| name.clone());
+        Named { name, tenant, subject, roles: may }
+    };
+    given.into_iter().enumerate().map(named).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/asterdale-daemon/src/token.rs
+++ b/crates/asterdale-daemon/src/token.rs
@@ -107,9 +107,14 @@
     let now = keys::now();
     let mut identity = Identity::new(now, callers.facts)?;
     identity.offer(now, &set).map_err(|why| format!("the set of keys is refused: {why:?}"))?;
-    let ask = Ask { token: Some(text.as_bytes()), edge: 0, arrived_ms: now };
+    let ask = Ask { token: Some(text.as_bytes()), certificate: None, edge: 0, arrived_ms: now };
     let caller = identity.identify(now, ask).map_err(|denied| format!("turned away: {:?}", denied.why))?;
-    println!("{} of {}, key {}", caller.claims.sub, caller.claims.tenant, caller.key);
+    println!(
+        "{} of {}, key {}",
+        caller.claims.sub,
+        caller.claims.tenant,
+        caller.key.as_deref().unwrap_or("-")
+    );
     if let Some(stage) = stage {
         let at = start.facts.stages.iter().position(|name| *name == stage);
         let at = at.ok_or(format!("--stage {stage}: no name in settings.lanes"))?;
--- /dev/null
+++ b/crates/asterdale-daemon/src/wire.rs
@@ -0,0 +1,84 @@
+//! What a connection's bytes go over: a plain socket, or TLS on one. A reader's thread reads, the writer's writes,
+//! each as if it were alone.
+
+use std::io::{self, IoSlice, Read};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use asterdale_host::gather;
+use asterdale_host::mail::Certificate;
+
+#[cfg(feature = "tls")]
+use crate::tls;
+
+/// A connection's way in and out.
+pub enum Wire {
+    /// Bytes go as they are.
+    Plain(TcpStream),
+    /// Through TLS, with a client that has shown a certificate.
+    #[cfg(feature = "tls")]
+    Tls(Box<tls::Session>),
+}
+
+impl Wire {
+    fn socket(&self) -> &TcpStream {
+        match self {
+            Wire::Plain(stream) => stream,
+            #[cfg(feature = "tls")]
+            Wire::Tls(session) => session.socket(),
+        }
+    }
+
+    /// Reads what there is, or waits for it; 0 at the end.
+    pub fn read(&self, into: &mut [u8]) -> io::Result<usize> {
+        match self {
+            Wire::Plain(stream) => (&mut &*stream).read(into),
+            #[cfg(feature = "tls")]
+            Wire::Tls(session) => session.read(into),
+        }
+    }
+
+    /// Writes all of the pieces. An error comes with how many of their bytes need not be written again: with
+    /// TLS all, as they lie encrypted already and go out with the next write, an empty one if need be.
+    pub fn write(&self, pieces: &mut [IoSlice<'_>]) -> Result<(), (usize, io::Error)> {
+        match self {
+            Wire::Plain(stream) => gather::write(stream, pieces),
+            #[cfg(feature = "tls")]
+            Wire::Tls(session) => session.write(pieces),
+        }
+    }
+
+    /// What the client has shown, once it has.
+    pub fn certificate(&self) -> Option<Arc<Certificate>> {
+        match self {
+            Wire::Plain(_) => None,
+            #[cfg(feature = "tls")]
+            Wire::Tls(session) => session.certificate(),
+        }
+    }
+
+    /// Nothing more will be written: says so, as the protocol has it.
+    pub fn finish(&self) {
+        #[cfg(feature = "tls")]
+        if let Wire::Tls(session) = self {
+            session.finish();
+        }
+        self.shutdown(Shutdown::Write);
+    }
+
+    /// Ends a direction of the socket, or both.
+    pub fn shutdown(&self, how: Shutdown) {
+        let _ = self.socket().shutdown(how);
+    }
+
+    /// How long a read waits.
+    pub fn read_within(&self, time: Duration) -> io::Result<()> {
+        self.socket().set_read_timeout(Some(time))
+    }
+
+    /// How long a write waits.
+    pub fn write_within(&self, time: Duration) -> io::Result<()> {
+        self.socket().set_write_timeout(Some(time))
+    }
+}
--- /dev/null
+++ b/crates/asterdale-daemon/tests/certificates.rs
@@ -0,0 +1,262 @@
+//! The listener for edge nodes that show a certificate, with real handshakes on loopback.
+#![cfg(feature = "tls")]
+
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use asterdale_identity::mint::{sign, Secret};
+use asterdale_rig::scripted::{address, until, Backend, Edge, PATIENCE};
+use asterdale_rig::unix_ms;
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair, SanType};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use serde_json::json;
+
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+const C: &str = "00000000000000cc";
+const KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+
+type Tls = StreamOwned<ClientConnection, TcpStream>;
+
+/// Who signs certificates.
+struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+/// A certificate and its key, in PEM.
+struct Pair {
+    certificate: String,
+    key: String,
+}
+
+impl Authority {
+    fn new() -> Authority {
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
+        Authority { issuer }
+    }
+
+    fn pem(&self) -> String {
+        self.issuer.pem()
+    }
+
+    fn signs(&self, name: SanType, lives: Duration) -> Pair {
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.subject_alt_names.push(name);
+        let now = SystemTime::now();
+        params.not_before = (now - Duration::from_secs(60)).into();
+        params.not_after = (now + lives).into();
+        let key = KeyPair::generate().unwrap();
+        let signed = params.signed_by(&key, &self.issuer).unwrap();
+        Pair { certificate: signed.pem(), key: key.serialize_pem() }
+    }
+
+    fn client(&self, name: &str) -> Pair {
+        self.signs(SanType::URI(name.try_into().unwrap()), Duration::from_secs(3600))
+    }
+}
+
+struct Site {
+    server: Authority,
+    folder: PathBuf,
+    at: SocketAddr,
+    backend: Backend,
+}
+
+impl Site {
+    fn path(folder: &std::path::Path, name: &str) -> String {
+        folder.join(name).display().to_string()
+    }
+
+    /// A backend with a listener for the clients of this authority.
+    fn new(clients: &Authority) -> Site {
+        let (server, at) = (Authority::new(), address());
+        let folder = std::env::temp_dir().join(format!("asterdale-tls-{}-{}", std::process::id(), at.ip()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let own = server.signs(SanType::IpAddress(at.ip()), Duration::from_secs(3600));
+        let root = Secret::from_seed([99; 32], "root");
+        let head = json!({"alg": "EdDSA", "kid": "root", "typ": asterdale_identity::keyring::TYPE});
+        let set =
+            json!({"seq": 1, "issued_ms": unix_ms(), "keys": [], "revoked": {"subjects": ["north/bad"]}});
+        for (name, text) in [
+            ("own", &own.certificate),
+            ("key", &own.key),
+            ("clients", &clients.pem()),
+            ("set", &sign(&root, &head, &set)),
+        ] {
+            std::fs::write(folder.join(name), text).unwrap();
+        }
+        let backend = Backend::start_before_runtime(|config| {
+            let path = |name| Site::path(&folder, name);
+            config["tls"] = json!({"listen": at, "certificate": path("own"), "key": path("key"),
+                "clients": path("clients")});
+            let roles = json!([{"name": "phone", "stages": ["bid", "page"]}]);
+            config["identity"] = json!({"issuer": "i", "audience": "a", "roots": [root.public_text()],
+                "keys": {"file": path("set")}, "roles": roles,
+                "tenants": [{"name": "north", "roles": ["phone"]}, {"name": "south", "roles": ["phone"]}],
+                "certificates": [
+                    {"name": "uri:urn:desk:1", "tenant": "north", "roles": ["phone"]},
+                    {"name": "uri:urn:desk:2", "tenant": "south", "roles": ["phone"]},
+                    {"name": "uri:urn:desk:3", "tenant": "north", "subject": "bad", "roles": ["phone"]}]});
+        });
+        drop(backend.connect()); // it listens: from here on signals are heard
+        backend.runtime.up();
+        backend.counters_until(|count| count("links") == 1 && count("keys_adopted") == 1);
+        Site { server, folder, at, backend }
+    }
+
+    /// A connection with this certificate, or with none.
+    fn connect(&self, shown: Option<&Pair>) -> Edge<Tls> {
+        let mut roots = RootCertStore::empty();
+        roots.add(CertificateDer::from_pem_slice(self.server.pem().as_bytes()).unwrap()).unwrap();
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let builder = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .unwrap()
+            .with_root_certificates(roots);
+        let with = match shown {
+            None => builder.with_no_client_auth(),
+            Some(pair) => {
+                let certificate = CertificateDer::from_pem_slice(pair.certificate.as_bytes()).unwrap();
+                let key = PrivateKeyDer::from_pem_slice(pair.key.as_bytes()).unwrap();
+                builder.with_client_auth_cert(vec![certificate], key).unwrap()
+            }
+        };
+        let session =
+            ClientConnection::new(Arc::new(with), ServerName::IpAddress(self.at.ip().into())).unwrap();
+        let stream = TcpStream::connect(self.at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Edge::on(StreamOwned::new(session, stream))
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Whether a task on this connection gets any answer at all.
+fn turned_away(edge: &mut Edge<Tls>) -> bool {
+    let bytes = asterdale_rig::scripted::request(1, "/healthz", &[], b"");
+    edge.try_send(&bytes).is_err() || !matches!(edge.try_answer(), Ok(Some(_)))
+}
+
+#[test]
+fn a_certificate_speaks_for_its_tenant_and_results_of_any_size_come_whole() {
+    let clients = Authority::new();
+    let site = Site::new(&clients);
+    let mut desk = site.connect(Some(&clients.client("urn:desk:1")));
+    desk.task(1, "bid", A, &[KEY]);
+    assert_eq!(site.backend.runtime.command("start")["rid"], A);
+    let result: Vec<u8> = (0..4096u32).map(|n| n as u8).collect();
+    site.backend.runtime.end(A, "PASS", &result);
+    assert_eq!(desk.answer().unwrap().body, result);
+    // The other desk's tenant has no part in it; the first one's repeat has.
+    let mut other = site.connect(Some(&clients.client("urn:desk:2")));
+    other.task(1, "bid", B, &[KEY]);
+    assert_eq!(site.backend.runtime.command("start")["rid"], B);
+    site.backend.runtime.end(B, "PASS", b"other");
+    assert_eq!(other.answer().unwrap().body, b"other");
+    for number in 2..200 {
+        desk.task(number, "bid", C, &[KEY]);
+        assert_eq!(desk.answer().unwrap().body, result);
+    }
+    // The plain listener asks for a token, as before.
+    let mut plain = site.backend.connect();
+    plain.task(1, "bid", C, &[KEY]);
+    assert_eq!(plain.status(1), "401");
+    assert_eq!(site.backend.runtime.commanded(), None);
+}
+
+#[test]
+fn whoever_shows_no_good_certificate_gets_nowhere_and_costs_the_others_nothing() {
+    let (clients, others) = (Authority::new(), Authority::new());
+    let site = Site::new(&clients);
+    let mut desk = site.connect(Some(&clients.client("urn:desk:1")));
+    desk.task(1, "page", A, &[]);
+    site.backend.runtime.command("start");
+    let expired = clients.signs(SanType::URI("urn:desk:1".try_into().unwrap()), Duration::ZERO);
+    std::thread::sleep(Duration::from_millis(1100)); // certificates count in seconds
+    assert!(turned_away(&mut site.connect(None)));
+    assert!(turned_away(&mut site.connect(Some(&others.client("urn:desk:1")))));
+    assert!(turned_away(&mut site.connect(Some(&expired))));
+    // Plain bytes, and a handshake that never goes on.
+    let mut plain = Edge::on(TcpStream::connect(site.at).unwrap());
+    plain.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    plain.send(&asterdale_rig::scripted::request(1, "/healthz", &[], b""));
+    assert!(!matches!(plain.try_answer(), Ok(Some(_))));
+    let mut silent = Edge::on(TcpStream::connect(site.at).unwrap());
+    silent.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert!(matches!(silent.try_answer(), Ok(None)));
+    // A good one whose name nobody knows, and one whose subject is revoked.
+    for (name, status) in [("urn:desk:9", "401"), ("urn:desk:3", "401")] {
+        let mut edge = site.connect(Some(&clients.client(name)));
+        edge.task(1, "page", B, &[]);
+        assert_eq!(edge.status(1), status);
+    }
+    site.backend.runtime.end(A, "PASS", b"done");
+    assert_eq!(desk.answer().unwrap().body, b"done");
+    assert_eq!(site.backend.runtime.commanded(), None);
+}
+
+#[test]
+fn certificates_are_reloaded_in_service_and_open_connections_go_on() {
+    let (clients, next) = (Authority::new(), Authority::new());
+    let mut site = Site::new(&clients);
+    let (old, new) = (clients.client("urn:desk:1"), next.client("urn:desk:1"));
+    let mut desk = site.connect(Some(&old));
+    desk.task(1, "page", A, &[]);
+    site.backend.runtime.command("start");
+    let text = site.backend.changed(|_| ());
+    // A file that is no certificate changes nothing.
+    std::fs::write(site.folder.join("clients"), "rubbish").unwrap();
+    site.backend.reload(&text);
+    site.backend.counters_until(|count| count("reloads_failed") == 1);
+    assert!(!turned_away(&mut site.connect(Some(&old))));
+    std::fs::write(site.folder.join("clients"), next.pem()).unwrap();
+    site.backend.reload(&text);
+    site.backend.counters_until(|count| count("reloads") == 1);
+    assert!(turned_away(&mut site.connect(Some(&old))));
+    assert!(!turned_away(&mut site.connect(Some(&new))));
+    site.backend.runtime.end(A, "PASS", b"done");
+    assert_eq!(desk.answer().unwrap().body, b"done");
+    desk.task(2, "page", B, &[]);
+    site.backend.runtime.command("start");
+    site.backend.runtime.end(B, "PASS", b"again");
+    assert_eq!(desk.answer().unwrap().body, b"again");
+}
+
+#[test]
+fn a_connection_ends_with_its_certificate_and_what_is_open_on_it_is_answered() {
+    let clients = Authority::new();
+    let site = Site::new(&clients);
+    let short = clients.signs(SanType::URI("urn:desk:1".try_into().unwrap()), Duration::from_secs(3));
+    let mut desk = site.connect(Some(&short));
+    desk.task(1, "page", A, &[]);
+    site.backend.runtime.command("start");
+    site.backend.counters_until(|count| count("connections_lapsed") == 1);
+    site.backend.runtime.end(A, "PASS", b"done");
+    assert_eq!(desk.answer().unwrap().body, b"done");
+    assert!(matches!(desk.try_answer(), Ok(None)));
+}
+
+#[test]
+fn leaving_answers_what_is_open_on_both_listeners_and_ends_well() {
+    let clients = Authority::new();
+    let mut site = Site::new(&clients);
+    let mut desk = site.connect(Some(&clients.client("urn:desk:1")));
+    desk.task(1, "page", A, &[]);
+    site.backend.runtime.command("start");
+    site.backend.signal("-TERM");
+    until("the notice", || site.backend.log().contains("host: leaving"));
+    site.backend.runtime.end(A, "PASS", b"in time");
+    assert_eq!(desk.answer().unwrap().body, b"in time");
+    assert!(matches!(desk.try_answer(), Ok(None)));
+    assert!(site.backend.ended().0.success());
+}
--- a/crates/asterdale-host/src/callers.rs
+++ b/crates/asterdale-host/src/callers.rs
@@ -126,14 +126,13 @@
     /// The first gate: who is calling. The mark is the tenant's from then on. Nothing of the module is touched.
     pub fn who(
         &mut self,
-        token: Option<&[u8]>,
-        (id, stage, edge): (Id, usize, u32),
-        unread_ms: f64,
+        ask: Ask<'_>,
+        (id, stage): (Id, usize),
         mark: &mut Option<Mark>,
     ) -> Result<Option<Arc<Caller>>, Reply> {
         let now = self.now;
         let Some(identity) = &mut self.callers.identity else { return Ok(None) };
-        match identity.identify(now, Ask { token, edge, arrived_ms: now - unread_ms }) {
+        match identity.identify(now, ask) {
             Ok(caller) => {
                 if let Some(mark) = mark.as_mut().filter(|_| !planted::is(Fault::Mark)) {
                     mark.tenant = caller.tenant;
@@ -149,7 +148,7 @@
                 // A caller that can't be judged is told that this try never ran. That is so; but of a key under
                 // which something has run, whoever's it is, nothing is said that could be taken for more.
                 let unable = denied.why.kind() == Said::Unable;
-                Err(if unable && self.known_somewhere(mark.as_ref(), now - unread_ms) {
+                Err(if unable && self.known_somewhere(mark.as_ref(), ask.arrived_ms) {
                     Reply::Abandoned
                 } else {
                     reply
--- a/crates/asterdale-host/src/counters.rs
+++ b/crates/asterdale-host/src/counters.rs
@@ -119,6 +119,8 @@
     connections_open,
     /// Closed as they carried nothing.
     connections_idle,
+    /// Ended as the certificate that they were opened with did.
+    connections_lapsed,
     /// Ended as they brought no whole request that made sense.
     connections_silent,
     /// Given up, with nothing open on them, for others.
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -10,7 +10,7 @@
 use asterdale::told::{Arrival, Gauges, Outcome, Repeat};
 use asterdale::{Machine, Server};
 use asterdale_facts::Facts;
-use asterdale_identity::Identity;
+use asterdale_identity::{Ask, Identity};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
 use crate::callers::Callers;
@@ -329,7 +329,7 @@
     }
 
     fn take(&mut self, request: Request) {
-        let Request { asked, token, body, client, request, since } = request;
+        let Request { asked, token, certificate, body, client, request, since } = request;
         let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mut mark } = asked;
         let tasks = &mut self.tasks;
         if tasks.by_way.contains_key(&(client.connection(), request)) {
@@ -341,7 +341,13 @@
         let since_ms = (unix_ms() - start_ms).max(0.0);
         // A stamp from before all else on its connection was read is wrong, and would be taken for a backlog.
         let unread_ms = since_ms.min(since.elapsed().as_secs_f64() * 1000.0);
-        let who = match tasks.who(token.as_deref(), (id, stage, caller), unread_ms, &mut mark) {
+        let ask = Ask {
+            token: token.as_deref(),
+            certificate: certificate.as_deref(),
+            edge: caller,
+            arrived_ms: tasks.now - unread_ms,
+        };
+        let who = match tasks.who(ask, (id, stage), &mut mark) {
             Ok(who) => who,
             Err(reply) => return client.answer(request, reply),
         };
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale::told::Outcome;
+pub use asterdale_identity::Certificate;
 use asterdale_identity::Kind;
 use crossbeam_channel::Sender;
 
@@ -60,6 +61,8 @@
     pub asked: Asked,
     /// What it says of who is calling, where that is asked for.
     pub token: Option<Box<[u8]>>,
+    /// What the connection has shown of it.
+    pub certificate: Option<Arc<Certificate>>,
     /// Its body.
     pub body: Vec<u8>,
     /// The way back.
--- a/crates/asterdale-identity/benches/verdict.rs
+++ b/crates/asterdale-identity/benches/verdict.rs
@@ -32,6 +32,7 @@
         in_all: 1e12,
         roles: vec![role],
         tenants: vec![Tenant { name: "t".into(), customer: 0, roles: vec!["r".into()] }],
+        certificates: Vec::new(),
     };
     let mut identity = Identity::new(NOW, facts).unwrap();
     let mut set = Published::empty();
@@ -57,7 +58,9 @@
 }
 
 fn ask(identity: &mut Identity, token: &str) -> bool {
-    identity.identify(NOW, Ask { token: Some(token.as_bytes()), edge: 1, arrived_ms: NOW }).is_ok()
+    identity
+        .identify(NOW, Ask { token: Some(token.as_bytes()), certificate: None, edge: 1, arrived_ms: NOW })
+        .is_ok()
 }
 
 /// One signature each.
@@ -96,7 +99,8 @@
     let token = token(&key, "1");
     bencher.bench_local(|| {
         let late = NOW * 1e3 + 1e6;
-        let ask = Ask { token: Some(black_box(token.as_bytes())), edge: 1, arrived_ms: late };
+        let ask =
+            Ask { token: Some(black_box(token.as_bytes())), certificate: None, edge: 1, arrived_ms: late };
         assert!(identity.identify(late, ask).is_err());
     });
 }
@@ -106,7 +110,7 @@
 fn permit(bencher: Bencher<'_, '_>) {
     let (mut identity, key) = identity();
     let token = token(&key, "1");
-    let ask = Ask { token: Some(token.as_bytes()), edge: 1, arrived_ms: NOW };
+    let ask = Ask { token: Some(token.as_bytes()), certificate: None, edge: 1, arrived_ms: NOW };
     let caller = identity.identify(NOW, ask).unwrap();
     bencher.bench_local(|| {
         let seat = identity.permit(NOW, &caller, 0, Some(1.0), false).unwrap();
--- a/crates/asterdale-identity/src/tests.rs
+++ b/crates/asterdale-identity/src/tests.rs
@@ -6,7 +6,7 @@
 use crate::mint::{sign, Secret};
 use crate::rights::{Denied, Role, Tenant};
 use crate::token::{Audience, Claims};
-use crate::{Ask, Facts, Identity, Kind, Why};
+use crate::{Ask, Certificate, Facts, Identity, Kind, Named, Why};
 
 const NOW: f64 = 1_000_000.0;
 
@@ -40,6 +40,12 @@
         in_all: 100.0,
         roles: vec![role("clerk", &[0])],
         tenants: vec![tenant("a"), tenant("b")],
+        certificates: vec![Named {
+            name: text("uri:desk"),
+            tenant: text("a"),
+            subject: text("desk"),
+            roles: vec![text("clerk")],
+        }],
     }
 }
 
@@ -87,7 +93,7 @@
 }
 
 fn ask(identity: &mut Identity, now: f64, token: &str) -> Result<u32, Why> {
-    let ask = Ask { token: Some(token.as_bytes()), edge: 4, arrived_ms: now };
+    let ask = Ask { token: Some(token.as_bytes()), certificate: None, edge: 4, arrived_ms: now };
     identity.identify(now, ask).map(|caller| caller.tenant).map_err(|denied| denied.why)
 }
 
@@ -127,7 +133,7 @@
     }
     let forged = sign(&secret(7), &json!({"alg": "EdDSA", "kid": "k2"}), &json!(claims("a", "1")));
     assert_eq!(ask(&mut identity, NOW, &forged), Err(Why::Signature));
-    let none = Ask { token: None, edge: 4, arrived_ms: NOW };
+    let none = Ask { token: None, certificate: None, edge: 4, arrived_ms: NOW };
     assert_eq!(identity.identify(NOW, none).unwrap_err(), Denied::from(Why::Missing));
     assert_eq!(ask(&mut identity, NOW, &"x".repeat(5000)), Err(Why::Malformed));
 }
@@ -166,7 +172,7 @@
         let mut identity = identity();
         let (good, other) = (token(2, |_| ()), token(1, |claims| *claims = claims_of_b()));
         assert_eq!((ask(&mut identity, NOW, &good), ask(&mut identity, NOW, &other)), (Ok(0), Ok(1)));
-        let caller = Ask { token: Some(good.as_bytes()), edge: 4, arrived_ms: NOW };
+        let caller = Ask { token: Some(good.as_bytes()), certificate: None, edge: 4, arrived_ms: NOW };
         let caller = identity.identify(NOW, caller).unwrap();
         assert_eq!(identity.revoked(&caller), None);
         identity.offer(NOW, set(2, change).as_bytes()).unwrap();
@@ -222,7 +228,7 @@
     assert!(busy > 480, "{busy}");
     assert_eq!(ask(&mut identity, NOW, &known), Ok(0), "a known one through the same edge node");
     let new = token(2, |claims| claims.jti = text("new"));
-    let elsewhere = Ask { token: Some(new.as_bytes()), edge: 5, arrived_ms: NOW };
+    let elsewhere = Ask { token: Some(new.as_bytes()), certificate: None, edge: 5, arrived_ms: NOW };
     assert!(identity.identify(NOW, elsewhere).is_ok());
     let here = Ask { edge: 4, ..elsewhere };
     assert!(identity.identify(NOW, here).is_ok(), "it is known by now");
@@ -241,11 +247,11 @@
     // It was valid then; that it is not now is not remembered against it.
     assert_eq!(ask(&mut identity, NOW, &short), Ok(0));
     // One that says that it arrives later than now is judged at now.
-    let ahead = Ask { token: Some(short.as_bytes()), edge: 4, arrived_ms: NOW + 1e9 };
+    let ahead = Ask { token: Some(short.as_bytes()), certificate: None, edge: 4, arrived_ms: NOW + 1e9 };
     assert!(identity.identify(NOW, ahead).is_ok());
     assert_eq!(ask(&mut identity, 0.0, &short), Err(Why::KeyEarly));
     // A stamp from long ago is worth no more than the skew.
-    let old = |now| Ask { token: Some(short.as_bytes()), edge: 4, arrived_ms: now - 1e6 };
+    let old = |now| Ask { token: Some(short.as_bytes()), certificate: None, edge: 4, arrived_ms: now - 1e6 };
     assert!(identity.identify(NOW + 1_999.0, old(NOW + 1_999.0)).is_ok());
     assert_eq!(identity.identify(NOW + 2_000.0, old(NOW + 2_000.0)).unwrap_err().why, Why::Expired);
 }
@@ -285,3 +291,38 @@
         assert_eq!(public_key(bad), None, "{bad}");
     }
 }
+
+#[test]
+fn a_certificate_speaks_for_what_comes_without_a_token_under_the_same_rules() {
+    let mut identity = identity();
+    let shown = Certificate {
+        names: vec![text("dns:elsewhere"), text("uri:desk")],
+        from_ms: NOW - 5_000.0,
+        until_ms: NOW + 5_000.0,
+        print: text("00ff"),
+    };
+    let mut ask_by = |now: f64, shown: &Certificate, token: Option<&str>, set: Option<String>| {
+        if let Some(set) = set {
+            identity.offer(now, set.as_bytes()).unwrap();
+        }
+        let token = token.map(str::as_bytes);
+        let ask = Ask { token, certificate: Some(shown), edge: 4, arrived_ms: now };
+        identity.identify(now, ask).map(|caller| caller.claims.sub.clone()).map_err(|denied| denied.why)
+    };
+    assert_eq!(ask_by(NOW, &shown, None, None), Ok(text("desk")));
+    // A token is asked first, and one that is wrong is not made good by the connection.
+    assert_eq!(ask_by(NOW, &shown, Some(&token(2, |_| ())), None), Ok(text("s")));
+    assert_eq!(ask_by(NOW, &shown, Some("rubbish"), None), Err(Why::Malformed));
+    let other = Certificate { names: vec![text("uri:desk2")], ..shown.clone() };
+    assert_eq!(ask_by(NOW, &other, None, None), Err(Why::CertificateName));
+    assert_eq!(ask_by(NOW + 5_499.0, &shown, None, None), Ok(text("desk")));
+    assert_eq!(ask_by(NOW + 5_500.0, &shown, None, None), Err(Why::Expired));
+    let revoked = set(2, |set| {
+        set.revoked.tokens.insert(text("00ff"));
+    });
+    assert_eq!(ask_by(NOW, &shown, None, Some(revoked)), Err(Why::TokenRevoked));
+    assert_eq!(
+        ask_by(NOW + 60_001.0, &Certificate { print: text("1"), ..shown }, None, None),
+        Err(Why::NoKeys)
+    );
+}
--- a/crates/asterdale-identity/src/verdict.rs
+++ b/crates/asterdale-identity/src/verdict.rs
@@ -6,7 +6,7 @@
 
 use crate::budget::Budget;
 use crate::cache::{Digests, Proven, RefusedTokens};
-use crate::keyring::{Keyring, Offered, Refused};
+use crate::keyring::{Keyring, Offered, Phase, Refused};
 use crate::planted::{self, Fault};
 use crate::rights::{Denied, Rights, Role, Tenant};
 use crate::token::{self, Claims};
@@ -16,7 +16,7 @@
 /// Why a caller was turned away. In the words of the log and the counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
-    /// There is no token.
+    /// There is neither a token nor a certificate.
     Missing,
     /// It can't be read, or has more or less than a token may have.
     Malformed,
@@ -40,6 +40,8 @@
     Issuer,
     /// It is meant for others.
     Audience,
+    /// Nobody is known by any name of the certificate.
+    CertificateName,
     /// It is revoked itself.
     TokenRevoked,
     /// Its subject is.
@@ -133,6 +135,8 @@
     pub roles: Vec<Role>,
     /// The tenants.
     pub tenants: Vec<Tenant>,
+    /// For whom certificates speak.
+    pub certificates: Vec<Named>,
 }
 
 /// What comes with a task.
@@ -140,6 +144,8 @@
 pub struct Ask<'a> {
     /// The token, if there is one.
     pub token: Option<&'a [u8]>,
+    /// The certificate of the connection, if it has one: it speaks for what comes without a token.
+    pub certificate: Option<&'a Certificate>,
     /// The number of the edge node.
     pub edge: u32,
     /// When it came to the machine, by the clock of `now`: never later than now, and no earlier than what the
@@ -152,12 +158,39 @@
 pub struct Caller {
     /// The tenant's number, which no other tenant has in the life of this process.
     pub tenant: u32,
-    /// The key that signed.
-    pub key: String,
-    /// What the token says.
+    /// The key that signed; a certificate's caller has none.
+    pub key: Option<String>,
+    /// What the token says, or what the start file says of the certificate.
     pub claims: Claims,
 }
 
+/// A certificate that a client has shown, and that was good when it did: its chain and its time were checked by
+/// whoever did the handshake.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Certificate {
+    /// Its names: `dns:`, `uri:` or `email:` and the name.
+    pub names: Vec<String>,
+    /// It is valid from then on, in Unix milliseconds.
+    pub from_ms: f64,
+    /// Until then.
+    pub until_ms: f64,
+    /// SHA-256 over it, in hexadecimal: the id by which it can be revoked, as a token by its own.
+    pub print: String,
+}
+
+/// For whom a certificate with a certain name speaks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// The name, as in [`Certificate::names`].
+    pub name: String,
+    /// The tenant.
+    pub tenant: String,
+    /// The subject.
+    pub subject: String,
+    /// What it is there for.
+    pub roles: Vec<String>,
+}
+
 impl Caller {
     #[cfg(test)]
     pub(crate) fn for_tests(tenant: u32, jti: &str) -> Caller {
@@ -166,7 +199,7 @@
         let (iss, sub, name, jti) = (text("i"), text("s"), tenant.to_string(), text(jti));
         let claims =
             Claims { iss, aud, sub, tenant: name, roles: vec![], exp: 1e9, nbf: None, iat: None, jti };
-        Caller { tenant, key: text("k"), claims }
+        Caller { tenant, key: Some(text("k")), claims }
     }
 }
 
@@ -220,8 +253,10 @@
         if offered == Offered::Adopted && !planted::is(Fault::Cache) {
             self.refused.clear();
             let ring = &self.ring;
-            self.proven
-                .retain(|caller| ring.key(&caller.key).is_some() && ring.revoked(&caller.claims).is_ok());
+            self.proven.retain(|caller| {
+                let known = caller.key.as_ref().is_none_or(|key| ring.key(key).is_some());
+                known && ring.revoked(&caller.claims).is_ok()
+            });
         }
         Ok(offered)
     }
@@ -244,7 +279,9 @@
     /// Who is calling. What is refused for good costs a digest and a look-up when it comes again; what is
     /// refused otherwise costs at most one signature, within what its edge node may cost.
     pub fn identify(&mut self, now: f64, ask: Ask<'_>) -> Result<Arc<Caller>, Denied> {
-        let text = ask.token.ok_or(Why::Missing)?;
+        let Some(text) = ask.token else {
+            return self.vouch(now, ask).map_err(Denied::from);
+        };
         // What lay unread is judged by when it came; but no stamp lengthens a life by more than the skew.
         let at = ask.arrived_ms.clamp(now - self.facts.skew_ms, now);
         if text.len() > token::MOST_TOKEN {
@@ -258,7 +295,9 @@
             Some(caller) if planted::is(Fault::Cache) => Ok(caller.clone()),
             Some(caller) => {
                 let caller = caller.clone();
-                self.standing(now, at, &caller.key, &caller.claims).map(|_| caller).map_err(Denied::from)
+                self.standing(now, at, caller.key.as_deref(), &caller.claims)
+                    .map(|_| caller)
+                    .map_err(Denied::from)
             }
             None => self.prove(now, at, text, ask.edge),
         };
@@ -278,7 +317,7 @@
     /// forged it would be refused anyway, and if not, it says the truth about itself.
     fn prove(&mut self, now: f64, at: f64, text: &[u8], edge: u32) -> Result<Arc<Caller>, Denied> {
         let token = token::read(text)?;
-        let tenant = self.standing(now, at, &token.head.kid, &token.claims)?;
+        let tenant = self.standing(now, at, Some(&token.head.kid), &token.claims)?;
         let key = *self.ring.key(&token.head.kid).ok_or(Why::KeyUnknown)?;
         self.budget.take(now, edge).map_err(|wait_ms| Denied { why: Why::Busy, wait_ms })?;
         self.checked += 1;
@@ -287,21 +326,45 @@
         if !right {
             return Err(Why::Signature.into());
         }
-        Ok(Arc::new(Caller { tenant, key: token.head.kid, claims: token.claims }))
+        Ok(Arc::new(Caller { tenant, key: Some(token.head.kid), claims: token.claims }))
+    }
+
+    /// For whom the connection's certificate speaks. Its caller is made anew for each task: it costs no
+    /// signature, and what the start file says of it holds at once.
+    fn vouch(&self, now: f64, ask: Ask<'_>) -> Result<Arc<Caller>, Why> {
+        let shown = ask.certificate.ok_or(Why::Missing)?;
+        let named = self.facts.certificates.iter().find(|named| shown.names.contains(&named.name));
+        let named = named.ok_or(Why::CertificateName)?;
+        let claims = Claims {
+            iss: self.facts.issuer.clone(),
+            aud: token::Audience::One(self.facts.audience.clone()),
+            sub: named.subject.clone(),
+            tenant: named.tenant.clone(),
+            roles: named.roles.clone(),
+            exp: shown.until_ms / 1000.0,
+            nbf: Some(shown.from_ms / 1000.0),
+            iat: None,
+            jti: shown.print.clone(),
+        };
+        let at = ask.arrived_ms.clamp(now - self.facts.skew_ms, now);
+        let tenant = self.standing(now, at, None, &claims)?;
+        Ok(Arc::new(Caller { tenant, key: None, claims }))
     }
 
-    /// Whether a token with this key and these claims passes, its signature aside; its tenant's number.
-    fn standing(&self, now: f64, at: f64, key: &str, claims: &Claims) -> Result<u32, Why> {
+    /// Whether somebody with this key and these claims passes, the signature aside; the tenant's number.
+    fn standing(&self, now: f64, at: f64, key: Option<&str>, claims: &Claims) -> Result<u32, Why> {
         let skew = self.facts.skew_ms;
+        let passes = key.map_or(Ok(()), |key| self.ring.passes(key, at, skew));
         // Revocations hold even of a set that is too old to let anybody in.
-        match self.ring.passes(key, at, skew) {
+        match passes {
             Err(Why::KeyRevoked) => return Err(Why::KeyRevoked),
             _ => self.ring.revoked(claims)?,
         }
+        // Of certificates, too: whoever has no set does not know which are revoked.
         if !self.ring.serves(now) {
             return Err(Why::NoKeys);
         }
-        self.ring.passes(key, at, skew)?;
+        passes?;
         if at >= claims.exp * 1000.0 + skew {
             return Err(Why::Expired);
         }
@@ -319,10 +382,11 @@
 
     /// Whether this caller is revoked by now. What only lapses (a token, an overlap) is judged at arrival, once.
     pub fn revoked(&self, caller: &Caller) -> Option<Why> {
-        match self.ring.phase(&caller.key, 0.0) {
-            Some(crate::keyring::Phase::Revoked) => Some(Why::KeyRevoked),
-            _ => self.ring.revoked(&caller.claims).err(),
+        let phase = caller.key.as_ref().and_then(|key| self.ring.phase(key, 0.0));
+        if phase == Some(Phase::Revoked) {
+            return Some(Why::KeyRevoked);
         }
+        self.ring.revoked(&caller.claims).err()
     }
 
     /// Whether the caller may have this task now. `repeat` if it repeats one that is known here. A seat must be
--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -427,8 +427,8 @@
 }
 
 /// An edge node's side of one connection.
-pub struct Edge {
-    pub stream: TcpStream,
+pub struct Edge<S = TcpStream> {
+    pub stream: S,
     incoming: Incoming,
 }
 
@@ -504,9 +504,9 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string()
 }
 
-impl Edge {
+impl<S: Read + Write> Edge<S> {
     /// A connection that is open already.
-    pub fn on(stream: TcpStream) -> Edge {
+    pub fn on(stream: S) -> Edge<S> {
         Edge { stream, incoming: Incoming::default() }
     }
 
