--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -588,8 +588,11 @@
             }
             Line::Nack { command, id } => {
                 if self.tasks.log.may(&NACK) {
+                    let about = id.and_then(|id| self.tasks.by_id.get(&id).copied());
+                    let about = about.and_then(|task| self.tasks.about(task)).unwrap_or_default();
                     slog::error!(self.tasks.log.lines, "runtime: a command was not carried out";
-                        "command" => &command);
+                        "command" => &command, "id" => about.id, "stage" => about.stage,
+                        "tenant" => about.tenant);
                 }
                 // Nothing runs. A run that waits at its call stays there until its task is given up.
                 if let (Some(id), "start") = (id, command.as_str()) {
--- a/crates/asterdale-host/src/tasks.rs
+++ b/crates/asterdale-host/src/tasks.rs
@@ -15,7 +15,7 @@
 use crate::counters::Counters;
 use crate::fingerprints::{Fate, Fingerprints};
 use crate::log::{Kind, Log};
-use crate::mail::{Call, Client, Fronts, Id, Mark, Reply, Serial, Way};
+use crate::mail::{text, Call, Client, Fronts, Id, Mark, Reply, Serial, Way};
 use crate::records::Records;
 use crate::runtime;
 
@@ -64,6 +64,14 @@
     pub sent: Option<Sent>,
 }
 
+/// What a line of the log says of a task.
+#[derive(Default)]
+pub struct About {
+    pub id: String,
+    pub stage: String,
+    pub tenant: String,
+}
+
 /// The link to the runtime, as the host sees it.
 pub struct Link {
     pub commands: Option<Sender<String>>,
@@ -127,6 +135,13 @@
         self.slots.get_mut(task.index())?.as_mut()
     }
 
+    /// What a line of the log says of a task.
+    pub fn about(&self, task: Handle) -> Option<About> {
+        let slot = self.slots.get(task.index())?.as_ref()?;
+        let tenant = slot.caller.as_ref().map_or_else(String::new, |caller| caller.claims.tenant.clone());
+        Some(About { id: text(&slot.id).to_owned(), stage: self.facts.stages[slot.stage].clone(), tenant })
+    }
+
     /// A command about a task; one that can't be sent now goes out when the link is made again.
     pub fn command(&mut self, task: Handle, line: String, harmless: bool) {
         let before = self.link.asked;
@@ -222,7 +237,9 @@
         self.ended(task, None);
         if self.slot(task).is_some_and(|slot| slot.back.is_some()) {
             if self.log.may(&UNANSWERED) {
-                slog::error!(self.log.lines, "host: a task was released without an answer");
+                let about = self.about(task).unwrap_or_default();
+                slog::error!(self.log.lines, "host: a task was released without an answer";
+                    "id" => about.id, "stage" => about.stage, "tenant" => about.tenant);
             }
             self.failed(task);
         }
--- a/crates/asterdale-identity/src/keyring.rs
+++ b/crates/asterdale-identity/src/keyring.rs
@@ -332,6 +332,7 @@
     use super::*;
     use crate::mint::Secret;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn secret(n: u8) -> Secret {
         Secret::from_seed([n; 32], &format!("k{n}"))
@@ -459,6 +460,8 @@
     }
 
     proptest! {
+        // The same cases each time: a run that fails can be run again.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
         /// Whatever sets come in whatever order: numbers only grow, an id never changes its key, what was
         /// revoked never passes again, and a key passes only if the last set that counted says so.
         #[test]
--- a/crates/asterdale-identity/src/token.rs
+++ b/crates/asterdale-identity/src/token.rs
@@ -204,6 +204,7 @@
     use super::*;
     use crate::mint::{sign, Secret};
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
     use serde_json::{json, Value};
 
     fn claims() -> Value {
@@ -303,6 +304,8 @@
     }
 
     proptest! {
+        // The same cases each time: a run that fails can be run again.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
         #[test]
         fn arbitrary_bytes_never_panic_and_never_pass(bytes: Vec<u8>, at: prop::sample::Index, bit in 0u8..8) {
             let key = Secret::from_seed([7; 32], "k").public();
--- a/crates/asterdale/src/lib.rs
+++ b/crates/asterdale/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod decide;
 pub mod machine;
 mod measure;
+#[cfg(feature = "snapshot")]
+pub mod snapshot;
 mod state;
 pub mod told;
 
--- a/crates/asterdale/src/measure.rs
+++ b/crates/asterdale/src/measure.rs
@@ -2,9 +2,11 @@
 
 /// Counts of values in steps of equal ratio: fine enough for quantiles, and cheap to add up.
 #[derive(Clone)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Spread {
     least: f64,
     step: f64,
+    #[cfg_attr(feature = "snapshot", serde(with = "crate::snapshot::counts"))]
     counts: [u32; 212],
     pub total: u32,
 }
@@ -44,6 +46,7 @@
 
 /// Amounts in fixed buckets of time that are used again: of the recent past, or of what lapses in the near
 /// future.
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Ring {
     pub width: f64,
     /// The present bucket, counted from time 0.
@@ -79,6 +82,11 @@
     pub fn total(&self) -> f64 {
         self.cells.iter().sum()
     }
+    /// Whether it can be used: one that came from outside may have no cells, or no width.
+    #[cfg(feature = "snapshot")]
+    pub fn sound(&self) -> bool {
+        !self.cells.is_empty() && self.width.is_finite() && self.width > 0.0
+    }
 }
 
 impl Default for Spread {
@@ -96,6 +104,7 @@
 }
 
 /// A permuted congruential generator (XSH-RR 64/32).
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Pcg(u64);
 
 impl Pcg {
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -6,6 +6,7 @@
 
 /// A task that was taken, from `Server::take` until `Machine::release`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct Handle(pub(crate) u32);
 
 impl Handle {
@@ -16,6 +17,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) enum State {
     Free,
     /// Read, not started.
@@ -31,6 +33,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Task {
     pub state: State,
     pub asked: Arrival,
@@ -95,6 +98,7 @@
 }
 
 /// What differs by stage.
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Stage {
     pub facts: StageFacts,
     /// Net run times (per unit of hinted work) of calm or pinned runs.
@@ -103,6 +107,7 @@
     pub base: f64,
 }
 
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Customer {
     pub facts: CustomerFacts,
     /// Its tasks read of late.
@@ -112,6 +117,7 @@
 }
 
 /// The decisions of one server.
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct Server {
     pub(crate) told: Told,
     pub(crate) stages: Vec<Stage>,
--- a/crates/asterdale/src/told.rs
+++ b/crates/asterdale/src/told.rs
@@ -2,6 +2,7 @@
 
 /// How often a task of a stage may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub enum Repeat {
     /// May run again at any time.
     Restartable,
@@ -13,6 +14,7 @@
 
 /// One kind of task.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct StageFacts {
     /// Full utility is earned by an answer within this time of the first try.
     pub due_ms: f64,
@@ -34,6 +36,7 @@
 
 /// One customer and its share.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct CustomerFacts {
     /// Tasks a second, over the whole fleet, that count as within its share.
     pub allowance_per_s: f64,
@@ -41,6 +44,7 @@
 
 /// What running work can be made to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub enum Halt {
     /// Running work cannot be stopped.
     Never,
@@ -52,6 +56,7 @@
 
 /// What callers do with the free value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub enum FreeValue {
     /// There is none.
     Unused,
@@ -65,6 +70,7 @@
 
 /// What lies below and takes calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub enum Below {
     /// Nothing.
     Nothing,
@@ -76,6 +82,7 @@
 
 /// Everything that a server is told when it starts.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct Told {
     /// Seed for this server's random numbers.
     pub seed: u64,
@@ -133,6 +140,7 @@
 
 /// A task that has just been read.
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "snapshot", derive(serde::Serialize, serde::Deserialize))]
 pub struct Arrival {
     /// Its stage, a position in [`Told::stages`].
     pub stage: usize,
