--- a/crates/asterdale-daemon/src/cli.rs
+++ b/crates/asterdale-daemon/src/cli.rs
@@ -41,6 +41,16 @@
     /// Keep keys and sets of keys, on files
     #[command(subcommand)]
     Keys(keys::Command),
+    /// Ask a serving process to hand over to a new one, and tell how far it is
+    #[cfg(feature = "upgrade")]
+    Upgrade {
+        /// The control socket, as the start file names it
+        #[arg(long)]
+        control: PathBuf,
+        /// The new program; the one that serves if absent
+        #[arg(long)]
+        binary: Option<PathBuf>,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -129,6 +139,11 @@
         }
         Some(Command::Token(command)) => token::run(command),
         Some(Command::Keys(command)) => keys::run(command),
+        #[cfg(feature = "upgrade")]
+        Some(Command::Upgrade { control, binary }) => {
+            let binary = binary.map(|path| path.display().to_string()).unwrap_or_default();
+            crate::upgrade::ask(&control, &binary, |phase| println!("{phase}")).map(|()| println!("done"))
+        }
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "asterdale", &mut std::io::stdout());
             Ok(())
--- a/crates/asterdale-daemon/src/edge.rs
+++ b/crates/asterdale-daemon/src/edge.rs
@@ -107,6 +107,8 @@
     /// Connections that carried nothing for so many milliseconds are closed; 0 for never.
     idle_ms: AtomicU64,
     closing: AtomicBool,
+    /// Another process takes what comes.
+    aside: AtomicBool,
     connections: Mutex<HashMap<u64, Open>>,
     began: Instant,
 }
@@ -149,6 +151,10 @@
         let _ = TcpStream::connect_timeout(&self.door.listen, Duration::from_millis(100));
     }
 
+    fn aside(&self, aside: bool) {
+        self.aside.store(aside, Ordering::SeqCst);
+    }
+
     fn hush(&self) {
         if let Ok(mut all) = self.connections.lock() {
             all.values_mut().for_each(Open::hush);
@@ -204,6 +210,7 @@
             facts,
             asked_who: start.identity.is_some(),
             closing: AtomicBool::new(false),
+            aside: AtomicBool::new(false),
             connections: Mutex::default(),
             began,
             door,
@@ -288,6 +295,10 @@
         let mut next = self.door.first;
         loop {
             let closing = self.closing.load(Ordering::SeqCst);
+            if !closing && self.aside.load(Ordering::SeqCst) {
+                thread::sleep(PAUSE * 5);
+                continue;
+            }
             if closing && listener.set_nonblocking(true).is_err() {
                 return;
             }
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -12,8 +12,12 @@
 mod tls;
 #[cfg(feature = "tools")]
 mod token;
+#[cfg(feature = "upgrade")]
+mod upgrade;
 mod wire;
 
+#[cfg(feature = "upgrade")]
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -29,6 +33,8 @@
 use asterdale_host::{registry, runtime, Around, Host};
 use asterdale_identity::Identity;
 use crossbeam_channel::{bounded, unbounded, Sender};
+#[cfg(feature = "upgrade")]
+use signal_hook::consts::SIGUSR2;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
@@ -45,6 +51,12 @@
 /// Of threads that wait for one thing and keep their buffers on the heap.
 const STACK: usize = 128 * 1024;
 
+/// Signals that are heard.
+#[cfg(feature = "upgrade")]
+const HEARD: [i32; 5] = [SIGTERM, SIGINT, SIGUSR1, SIGHUP, SIGUSR2];
+#[cfg(not(feature = "upgrade"))]
+const HEARD: [i32; 4] = [SIGTERM, SIGINT, SIGUSR1, SIGHUP];
+
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), String> {
     let thread = thread::Builder::new().name(name.to_owned()).stack_size(STACK);
     thread.spawn(work).map(drop).map_err(|e| format!("no thread for {name}: {e}"))
@@ -69,6 +81,10 @@
     fn hush(&self) {
         self.0.iter().for_each(|edge| edge.hush());
     }
+
+    fn aside(&self, aside: bool) {
+        self.0.iter().for_each(|edge| edge.aside(aside));
+    }
 }
 
 /// The listeners that the start file asks for. Two share the room that there is.
@@ -98,6 +114,9 @@
     issuer: Option<Sender<Nudge>>,
     #[cfg(feature = "tls")]
     doorkeeper: Option<Arc<Doorkeeper>>,
+    /// Where this process is asked to hand over.
+    #[cfg(feature = "upgrade")]
+    control: Option<PathBuf>,
 }
 
 impl Rereading {
@@ -130,6 +149,14 @@
     for signal in signals.forever() {
         let mail = match signal {
             SIGUSR1 => Mail::Report,
+            #[cfg(feature = "upgrade")]
+            SIGUSR2 => {
+                // How it goes is told by the log; it takes longer than a signal may be left waiting.
+                if let Some(control) = again.control.clone() {
+                    drop(thread::spawn(move || upgrade::ask(&control, "", |_| ())));
+                }
+                continue;
+            }
             SIGHUP => match again.read(host) {
                 Ok(true) => continue,
                 Ok(false) => return,
@@ -155,19 +182,34 @@
     let (moves, moved) = bounded(WORDS);
     let (out, answers) = unbounded();
     let counters = Arc::new(Counters::default());
-    let doors = doors(&start)?;
+    // Before anybody can see that the program is there: a signal that comes sooner would end it.
+    let caught = Signals::new(HEARD).map_err(|e| format!("signals: {e}"))?;
+    #[cfg_attr(not(feature = "upgrade"), expect(unused_mut))]
+    let mut doors = doors(&start)?;
+    #[cfg(feature = "upgrade")]
+    let mut taken = upgrade::take(start.facts.stages.len())?;
+    #[cfg(feature = "upgrade")]
+    if let Some(taken) = &taken {
+        // No two connections of processes that know of each other have the same number.
+        doors.iter_mut().for_each(|door| door.first += taken.epoch << 32);
+    }
     let began = Instant::now();
     let edge = |door: &Door| {
         let (mail, out) = (mail.clone(), out.clone());
         Arc::new(Edge::new(&start, door.clone(), mail, out, counters.clone(), log.clone(), began))
     };
     let edges: Vec<Arc<Edge>> = doors.iter().map(edge).collect();
-    // Before anybody can see that the program is there: a signal that comes sooner would end it.
-    let caught = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let mut listeners = Vec::new();
     for (edge, door) in edges.iter().zip(&doors) {
+        #[cfg(feature = "upgrade")]
+        if let Some(listener) = taken.as_mut().and_then(|taken| taken.listener(door.listen)) {
+            listeners.push(listener);
+            continue;
+        }
         listeners.push(edge.bind().map_err(|e| format!("listen: {}: {e}", door.listen))?);
     }
+    #[cfg(feature = "upgrade")]
+    let guardian = control(&start, taken.as_ref(), &listeners, &mail, log)?;
     let (identity, issuer) = callers(&start, &mail, &counters, log)?;
     let nudges = issuer.clone();
     let (host, counted, lines) = (mail.clone(), counters.clone(), log.clone());
@@ -176,6 +218,8 @@
         issuer,
         #[cfg(feature = "tls")]
         doorkeeper: doors.iter().find_map(|door| door.tls.clone()),
+        #[cfg(feature = "upgrade")]
+        control: start.control.as_ref().map(PathBuf::from),
     };
     spawn("signals", move || signals(caught, &host, &again, &counted, &lines))?;
     let (host, counted, lines, at) = (mail.clone(), counters.clone(), log.clone(), start.peers.runtime);
@@ -190,7 +234,7 @@
         spawn("keeper", move || keeping.keep())?;
         spawn("listener", move || listening.accept(&listener))?;
     }
-    let records = Records::new(start.peers.records, mail, counters.clone());
+    let records = Records::new(start.peers.records, mail.clone(), counters.clone());
     let around = Around {
         records,
         fronts: Arc::new(Doors(edges)),
@@ -201,13 +245,61 @@
         log: log.clone(),
     };
     let Start { facts, memory, stop_ms, peers, .. } = start;
-    let mut host = Host::new(Begin { facts, memory, stop_ms, peers, identity }, around);
+    let begin = Begin { facts, memory, stop_ms, peers, identity };
+    #[cfg(feature = "upgrade")]
+    let mut host = match taken {
+        None => Host::new(begin, around),
+        Some(taken) => {
+            let (stages, epoch) = (begin.facts.stages.len(), taken.epoch);
+            let host = Host::go_on(begin, around, &taken.state, &taken.client(), taken.mirror())?;
+            slog::info!(log.lines, "upgrade: this process goes on"; "epoch" => epoch, "gist" => ?host.gist());
+            thread::spawn(move || taken.hear(&mail, stages));
+            host
+        }
+    };
+    #[cfg(not(feature = "upgrade"))]
+    let mut host = Host::new(begin, around);
     slog::info!(log.lines, "host: serving"; "at" => %start.listen);
     host.serve(&mailbox);
     host.report();
+    #[cfg(feature = "upgrade")]
+    if let Some(guardian) = guardian {
+        // It left in order: there is nothing to take back.
+        guardian.release();
+    }
     Ok(())
 }
 
+/// The control socket, where there is one; and the way to the process that guards this one.
+#[cfg(feature = "upgrade")]
+fn control(
+    start: &Start,
+    taken: Option<&upgrade::Taken>,
+    listeners: &[TcpListener],
+    mail: &Sender<Mail>,
+    log: &Log,
+) -> Result<Option<upgrade::Line>, String> {
+    let guardian = taken.map(upgrade::Taken::line);
+    let Some(path) = &start.control else { return Ok(guardian) };
+    let path = PathBuf::from(path);
+    let told = |e: std::io::Error| format!("upgrade: {e}");
+    let socket = match taken {
+        Some(taken) => taken.control.try_clone().map_err(told)?,
+        None => upgrade::bind(&path)?,
+    };
+    let control = upgrade::Control {
+        path,
+        socket,
+        listeners: listeners.iter().map(TcpListener::try_clone).collect::<Result<_, _>>().map_err(told)?,
+        epoch: taken.map_or(1, |taken| taken.epoch),
+        guardian: guardian.clone(),
+        host: mail.clone(),
+        log: log.clone(),
+    };
+    spawn("control", move || control.serve())?;
+    Ok(guardian)
+}
+
 /// Where callers must be known: what holds of them. The first set of keys, or the actor that fetches it, is on
 /// its way to the host.
 fn callers(
--- a/crates/asterdale-daemon/src/start/file.rs
+++ b/crates/asterdale-daemon/src/start/file.rs
@@ -88,6 +88,18 @@
     pub identity: Option<Callers>,
     /// A second listener, for edge nodes that show a certificate. Absent: there is none.
     pub tls: Option<Tls>,
+    /// How another process takes over while this one serves. Absent: none can.
+    pub upgrade: Option<Upgrade>,
+}
+
+/// How another process takes over while this one serves.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[cfg_attr(feature = "tools", derive(JsonSchema))]
+#[serde(default, deny_unknown_fields)]
+pub struct Upgrade {
+    /// Path of the control socket, in a folder that is closed to other users.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub control: Option<String>,
 }
 
 /// A listener for edge nodes that show a certificate. Its files are read at the start and at SIGHUP.
--- a/crates/asterdale-daemon/src/start/mod.rs
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -42,6 +42,9 @@
     /// The listener for edge nodes that show a certificate, where there is one.
     #[cfg_attr(not(feature = "tls"), expect(dead_code, reason = "such a file is a fault there"))]
     pub tls: Option<Tls>,
+    /// Path of the control socket, where another process can take over.
+    #[cfg_attr(not(feature = "upgrade"), expect(dead_code, reason = "such a file is a fault there"))]
+    pub control: Option<String>,
 }
 
 /// A listener for edge nodes that show a certificate: where, and the paths of its files.
@@ -154,12 +157,29 @@
     if tls.is_some() && file.identity.is_none() {
         faults.add("tls", "means nothing without identity, which says for whom certificates speak");
     }
+    let control = file.upgrade.and_then(|section| {
+        if !cfg!(feature = "upgrade") {
+            faults.add("upgrade", "this build can't hand over");
+        }
+        faults.wanted("upgrade.control", section.control)
+    });
     let identity = file.identity.and_then(|callers| identity(&mut faults, callers, seed, &facts));
     if !faults.0.is_empty() {
         return Err(faults.0);
     }
     let (memory, descriptors) = (memory as usize, descriptors as usize);
-    Ok(Start { name, listen, peers, stop_ms, memory, descriptors, facts: Arc::new(facts), identity, tls })
+    Ok(Start {
+        name,
+        listen,
+        peers,
+        stop_ms,
+        memory,
+        descriptors,
+        facts: Arc::new(facts),
+        identity,
+        tls,
+        control,
+    })
 }
 
 fn tls(faults: &mut Faults, section: file::Tls) -> Option<Tls> {
--- /dev/null
+++ b/crates/asterdale-daemon/src/upgrade/port.rs
@@ -0,0 +1,226 @@
+//! What passes between the two processes once the work has passed: requests, answers, and what the guardian must
+//! know.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use asterdale::told::Outcome;
+use asterdale_handover::message::frame::What;
+use asterdale_handover::message::{self, Called, Check, Left, Mirror, Release, Task};
+use asterdale_host::mail::{Asked, Client, Id, Mail, Mark, Reply, Request, Serial, Way};
+use asterdale_host::passing::{Mirrored, Port, Step};
+
+use super::wire::{reply, reply_frame, way, way_frame, Line};
+
+/// The way back over a connection of the process before.
+pub struct Remote {
+    /// The connection's number there.
+    pub connection: u64,
+    /// To that process.
+    pub line: Line,
+}
+
+impl Client for Remote {
+    fn connection(&self) -> u64 {
+        self.connection
+    }
+
+    fn answer(self: Arc<Self>, request: u16, reply: Reply) {
+        // Where that process has ended its connections have, too.
+        let _ = self.line.send(What::Reply(reply_frame((self.connection, request), &reply)));
+    }
+
+    fn drop_one(&self) {}
+}
+
+/// The way to the successor.
+pub struct Successor(pub Line);
+
+/// Outcomes by their number in a frame.
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::Unreachable,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+impl Port for Successor {
+    fn task(&mut self, way: Way, request: &Request) {
+        let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark } = &request.asked;
+        let _ = self.0.send(What::Task(Task {
+            way: way_frame(way),
+            id: id.to_vec(),
+            stage: *stage as u32,
+            start_ms: *start_ms,
+            caller: *caller,
+            timeout_ms: *timeout_ms,
+            hint_ms: *hint_ms,
+            kb: *kb,
+            mark: mark.as_ref().map(|mark| mark.text.to_vec()),
+            body: request.body.clone(),
+            token: request.token.as_deref().map(<[u8]>::to_vec),
+            unread_ms: request.since.elapsed().as_secs_f64() * 1e3,
+        }));
+    }
+
+    fn check(&mut self, way: Way, deep: bool) {
+        let _ = self.0.send(What::Check(Check { way: way_frame(way), deep }));
+    }
+
+    fn left(&mut self, connection: u64, request: Option<u16>) {
+        let way = way_frame((connection, request.unwrap_or(0)));
+        let _ = self.0.send(What::Left(Left { way, all: request.is_none() }));
+    }
+
+    fn called(&mut self, who: Serial, outcome: Outcome, took_ms: f64, body: &[u8]) {
+        let outcome = OUTCOMES.iter().position(|known| *known == outcome).unwrap_or(1) as u32;
+        let _ = self.0.send(What::Called(Called { who, outcome, took_ms, body: body.to_vec() }));
+    }
+
+    fn done(&mut self) {
+        let _ = self.0.send(What::Release(Release {}));
+    }
+}
+
+/// What a frame of the process before is to the host; `None` for one that makes no sense here.
+pub fn from_before(what: What, line: &Line, stages: usize) -> Option<Mail> {
+    let client = |connection| -> Arc<dyn Client> { Arc::new(Remote { connection, line: line.clone() }) };
+    Some(match what {
+        What::Task(task) => {
+            let (connection, request) = way(task.way)?;
+            let stage = task.stage as usize;
+            let id = Id::try_from(task.id.as_slice()).ok().filter(|_| stage < stages)?;
+            let mark = task.mark.map(|text| Mark { stage, tenant: 0, text: text.into() });
+            let asked = Asked {
+                id,
+                stage,
+                start_ms: task.start_ms,
+                caller: task.caller,
+                timeout_ms: task.timeout_ms,
+                hint_ms: task.hint_ms,
+                kb: task.kb,
+                mark,
+            };
+            let unread = Duration::from_secs_f64((task.unread_ms / 1e3).clamp(0.0, 3600.0));
+            let now = Instant::now();
+            Mail::Task(Box::new(Request {
+                asked,
+                token: task.token.map(Into::into),
+                certificate: None,
+                body: task.body,
+                client: client(connection),
+                request,
+                since: now.checked_sub(unread).unwrap_or(now),
+            }))
+        }
+        What::Check(check) => {
+            let (connection, request) = way(check.way)?;
+            Mail::Check { client: client(connection), request, deep: check.deep }
+        }
+        What::Left(left) => {
+            let way = way(left.way)?;
+            if left.all {
+                Mail::Gone(way.0)
+            } else {
+                Mail::Abort(way)
+            }
+        }
+        What::Called(called) => Mail::Called {
+            who: called.who,
+            outcome: *OUTCOMES.get(called.outcome as usize)?,
+            took_ms: called.took_ms,
+            body: called.body,
+        },
+        _ => return None,
+    })
+}
+
+const REMEMBERED: u32 = 0;
+const STARTED: u32 = 1;
+const ENDED: u32 = 2;
+const FORGOTTEN: u32 = 3;
+
+/// What a guardian must know, as a frame.
+pub fn mirror_frame(mirrored: Mirrored) -> Mirror {
+    let of = |mark: Mark, owner: Serial, what: u32| Mirror {
+        mark: mark.text.to_vec(),
+        stage: mark.stage as u32,
+        tenant: mark.tenant,
+        owner,
+        what,
+        ..Mirror::default()
+    };
+    match mirrored {
+        Mirrored::Remembered { mark, owner: (owner, sign), until } => {
+            Mirror { sign, until_ms: until, ..of(mark, owner, REMEMBERED) }
+        }
+        Mirrored::Started { id, mark: Some((mark, owner)) } => {
+            Mirror { id: id.to_vec(), ..of(mark, owner, STARTED) }
+        }
+        Mirrored::Started { id, mark: None } => {
+            Mirror { id: id.to_vec(), what: STARTED, ..Mirror::default() }
+        }
+        Mirrored::Ended { mark, owner, result } => {
+            Mirror { result: result.map(|result| result.to_vec()), ..of(mark, owner, ENDED) }
+        }
+        Mirrored::Forgotten { mark, owner } => of(mark, owner, FORGOTTEN),
+    }
+}
+
+/// And back.
+fn mirrored(frame: Mirror) -> Option<Mirrored> {
+    let owner = frame.owner;
+    let mark = Mark { stage: frame.stage as usize, tenant: frame.tenant, text: frame.mark.into() };
+    Some(match frame.what {
+        REMEMBERED => Mirrored::Remembered { mark, owner: (owner, frame.sign), until: frame.until_ms },
+        STARTED => Mirrored::Started {
+            id: Id::try_from(frame.id.as_slice()).ok()?,
+            mark: (!mark.text.is_empty()).then_some((mark, owner)),
+        },
+        ENDED => Mirrored::Ended { mark, owner, result: frame.result.map(Into::into) },
+        FORGOTTEN => Mirrored::Forgotten { mark, owner },
+        _ => return None,
+    })
+}
+
+/// What a frame of the successor is to the host that guards it.
+pub fn from_after(what: What) -> Option<Step> {
+    match what {
+        What::Reply(frame) => reply(frame).map(|(way, reply)| Step::Reply(way, reply)),
+        What::Mirror(frame) => mirrored(frame).map(Step::Mirrored),
+        _ => None,
+    }
+}
+
+/// The first frame of a successor.
+pub fn hello(nonce: Vec<u8>) -> What {
+    What::Hello(message::Hello {
+        version: asterdale_handover::VERSION,
+        shape: asterdale::snapshot::SHAPE,
+        nonce,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_guardian_must_know_comes_back_from_its_frame() {
+        let mark = || Mark { stage: 1, tenant: 2, text: b"key".as_slice().into() };
+        for what in [
+            Mirrored::Remembered { mark: mark(), owner: (7, 9), until: 1e12 },
+            Mirrored::Started { id: *b"9b1f03aa5c7e2d41", mark: Some((mark(), 7)) },
+            Mirrored::Started { id: *b"9b1f03aa5c7e2d41", mark: None },
+            Mirrored::Ended { mark: mark(), owner: 7, result: Some([1].into()) },
+            Mirrored::Ended { mark: mark(), owner: 7, result: None },
+            Mirrored::Forgotten { mark: mark(), owner: 7 },
+        ] {
+            assert_eq!(mirrored(mirror_frame(what.clone())), Some(what));
+        }
+    }
+}
--- a/crates/asterdale-host/src/fingerprints.rs
+++ b/crates/asterdale-host/src/fingerprints.rs
@@ -2,13 +2,16 @@
 //! remembered, and for how long, the module says; here it is only kept.
 
 use std::collections::HashMap;
-use std::hash::BuildHasher;
+use std::hash::Hasher;
 use std::sync::Arc;
 
+use siphasher::sip::SipHasher13;
+
 use crate::mail::{Mark, Serial};
 
 /// What became of a remembered task.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "handover", derive(serde::Serialize, serde::Deserialize))]
 pub enum Fate {
     /// It is held or runs; whoever joined hears of its end.
     Open,
@@ -18,6 +21,8 @@
     Failed,
 }
 
+#[derive(Clone)]
+#[cfg_attr(feature = "handover", derive(serde::Serialize, serde::Deserialize))]
 struct Entry {
     owner: Serial,
     /// Of its body.
@@ -30,6 +35,14 @@
     waiting: Vec<Serial>,
 }
 
+/// What another process needs to go on with a table.
+#[cfg(feature = "handover")]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Passed {
+    secret: u64,
+    entries: Vec<(Mark, Entry)>,
+}
+
 /// The table. Times are the module's, in milliseconds.
 pub struct Fingerprints {
     entries: HashMap<Mark, Entry>,
@@ -39,15 +52,16 @@
     most: usize,
     /// The longest that a task lies unread after it came to the machine: entries stay that much longer.
     unread_ms: f64,
+    secret: u64,
 }
 
 impl Fingerprints {
     /// An empty table in a process of so much memory. A quarter of that is for results: those over it are not
     /// kept, and their repeats are abandoned, still never run. An eighth is for the entries themselves, at
-    /// 512 bytes each.
-    pub fn new(memory: usize, unread_ms: f64) -> Fingerprints {
+    /// 512 bytes each. The secret makes signs that nobody outside can foresee.
+    pub fn new(memory: usize, unread_ms: f64, secret: u64) -> Fingerprints {
         let (most_bytes, most) = (memory / 4, memory / 8 / 512);
-        Fingerprints { entries: HashMap::new(), bytes: 0, most_bytes, most, unread_ms }
+        Fingerprints { entries: HashMap::new(), bytes: 0, most_bytes, most, unread_ms, secret }
     }
 
     /// Nothing more can be remembered.
@@ -57,7 +71,9 @@
 
     /// What tells a body from others: nobody outside can make two that are alike by it.
     pub fn sign(&self, body: &[u8]) -> u64 {
-        self.entries.hasher().hash_one(body)
+        let mut hasher = SipHasher13::new_with_keys(self.secret, !self.secret);
+        hasher.write(body);
+        hasher.finish()
     }
 
     /// Whether this mark is known with another body. For reads that is no matter.
@@ -139,6 +155,29 @@
         self.bytes -= freed;
     }
 
+    /// When the last window that is open now ends; 0 without any.
+    #[cfg(feature = "handover")]
+    pub fn last_window(&self) -> f64 {
+        let windows = self.entries.values().map(|entry| entry.until).filter(|until| until.is_finite());
+        windows.fold(0.0, f64::max) + self.unread_ms
+    }
+
+    /// All that is remembered, and the secret of the signs, for a process that goes on.
+    #[cfg(feature = "handover")]
+    pub fn pass(&self) -> Passed {
+        let entry = |(mark, entry): (&Mark, &Entry)| (mark.clone(), entry.clone());
+        Passed { secret: self.secret, entries: self.entries.iter().map(entry).collect() }
+    }
+
+    /// Goes on with what another process remembered.
+    #[cfg(feature = "handover")]
+    pub fn go_on(&mut self, passed: Passed) {
+        let size = |entry: &Entry| if let Fate::Passed(result) = &entry.fate { result.len() } else { 0 };
+        self.secret = passed.secret;
+        self.bytes = passed.entries.iter().map(|(_, entry)| size(entry)).sum();
+        self.entries = passed.entries.into_iter().collect();
+    }
+
     /// How many are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -159,7 +198,7 @@
     }
 
     fn table() -> Fingerprints {
-        let mut table = Fingerprints::new(8192, 50.0);
+        let mut table = Fingerprints::new(8192, 50.0, 7);
         assert!(table.remember(mark(), (1, 0), 1000.0, None).is_empty());
         table
     }
@@ -233,7 +272,7 @@
 
     #[test]
     fn a_read_serves_others_while_open_and_for_a_while_after_it_ended_well() {
-        let mut table = Fingerprints::new(8192, 50.0);
+        let mut table = Fingerprints::new(8192, 50.0, 7);
         table.remember(mark(), (1, 0), 20.0, Some(20.0));
         assert!(table.knows(&mark(), 500.0));
         table.ended(&mark(), 1, 600.0, Some(vec![1].into()));
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -3,7 +3,6 @@
 //! nothing by itself.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,7 +17,9 @@
 use crate::fingerprints::Fingerprints;
 use crate::issuer::Nudge;
 use crate::log::{Kind, Log};
-use crate::mail::{Asked, Client, Fronts, How, Id, Line, Mail, Peers, Reply, Request, Serial, Way, Word};
+use crate::mail::{
+    Asked, Client, Course, Fronts, How, Id, Line, Mail, Peers, Reply, Request, Serial, Way, Word,
+};
 use crate::records::Records;
 use crate::runtime;
 use crate::tasks::{Link, Slot, Tasks};
@@ -48,7 +49,7 @@
 const MOVING_MS: f64 = 300.0;
 
 /// Marks the gauges whose coming proves that all commands on a link that is to end arrived.
-const LAST: &str = "last";
+pub(crate) const LAST: &str = "last";
 /// Marks the gauges whose coming shows that all missed notices were sent.
 const REPLAY: &str = "replay";
 
@@ -58,15 +59,21 @@
 }
 
 /// The module's time: Unix time at the start, from then on by a clock that never steps.
-struct Clock {
+pub(crate) struct Clock {
     unix: f64,
     began: Instant,
 }
 
 impl Clock {
-    fn now(&self) -> f64 {
+    pub(crate) fn now(&self) -> f64 {
         self.unix + self.began.elapsed().as_secs_f64() * 1000.0
     }
+
+    /// Goes on from this time: another process's clock, which must not step for its tasks.
+    #[cfg(feature = "handover")]
+    pub(crate) fn set(&mut self, now: f64) {
+        (self.unix, self.began) = (now, Instant::now());
+    }
 }
 
 /// A deep check that the runtime works at.
@@ -84,8 +91,8 @@
     pub fronts: Arc<dyn Fronts>,
     /// The list's actor.
     pub list: Sender<Word>,
-    /// The runtime's actor takes a new address here.
-    pub moves: Sender<SocketAddr>,
+    /// The runtime's actor hears here where it is to link to, or not.
+    pub moves: Sender<Course>,
     /// The issuer's actor, where there is one.
     pub issuer: Option<Sender<Nudge>>,
     /// Counts.
@@ -110,14 +117,14 @@
 
 /// The actor.
 pub struct Host {
-    server: Option<Server>,
-    tasks: Tasks,
-    clock: Clock,
+    pub(crate) server: Option<Server>,
+    pub(crate) tasks: Tasks,
+    pub(crate) clock: Clock,
     gauges: Gauges,
     /// When they came.
     read_at: f64,
     /// Small indices of the callers, by their number.
-    callers: HashMap<u32, usize>,
+    pub(crate) callers: HashMap<u32, usize>,
     /// Deep checks that wait for the runtime, by their number.
     checks: HashMap<Serial, Check>,
     /// The last call got a reply, whatever it said.
@@ -127,10 +134,13 @@
     stop_ms: f64,
     /// Where the peers listen.
     peers: Peers,
-    list: Sender<Word>,
-    moves: Sender<SocketAddr>,
+    pub(crate) list: Sender<Word>,
+    pub(crate) moves: Sender<Course>,
     /// When all must be answered, once the notice has come.
-    leave_by: Option<Instant>,
+    pub(crate) leave_by: Option<Instant>,
+    /// Whether the work is another process's, or about to be.
+    #[cfg(feature = "handover")]
+    pub(crate) aside: crate::passing::Aside,
 }
 
 impl Host {
@@ -151,11 +161,15 @@
                 by_way: HashMap::new(),
                 serial: 0,
                 arriving: None,
-                fingerprints: Fingerprints::new(memory, longest),
+                fingerprints: Fingerprints::new(memory, longest, facts.told.seed),
                 callers: Callers::new(identity, issuer, &counters),
                 joined: VecDeque::new(),
                 not_begun: VecDeque::new(),
                 not_started: VecDeque::new(),
+                #[cfg(feature = "handover")]
+                mirror: None,
+                #[cfg(feature = "handover")]
+                elsewhere: HashMap::new(),
                 link: Link::default(),
                 records,
                 fronts,
@@ -177,19 +191,41 @@
             list,
             moves,
             leave_by: None,
+            #[cfg(feature = "handover")]
+            aside: crate::passing::Aside::default(),
         }
     }
 
+    /// Handles mail, or keeps it, or carries it to another process: whosever the work is.
+    #[cfg(feature = "handover")]
+    pub(crate) fn take_mail(&mut self, mail: Mail, mailbox: &Receiver<Mail>) {
+        let mail = if self.aside.stands() { self.carry(mail) } else { Some(mail) };
+        match mail {
+            Some(Mail::Handover(step)) => self.step(step, mailbox),
+            Some(mail) => self.handle(mail),
+            None => {}
+        }
+    }
+
+    #[cfg(not(feature = "handover"))]
+    fn take_mail(&mut self, mail: Mail, _: &Receiver<Mail>) {
+        self.handle(mail);
+    }
+
     /// Handles mail until the backend has left.
     pub fn serve(&mut self, mailbox: &Receiver<Mail>) {
         let mut sweep = Instant::now() + SWEEP;
         loop {
             let wait = (self.tasks.wake_at.min(self.ask_at) - self.clock.now()).clamp(0.0, 50.0);
             match mailbox.recv_timeout(Duration::from_micros((wait * 1000.0) as u64)) {
-                Ok(mail) => self.handle(mail),
+                Ok(mail) => self.take_mail(mail, mailbox),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            #[cfg(feature = "handover")]
+            if self.aside.stands() && self.guard(mailbox) {
+                return;
+            }
             self.tasks.now = self.clock.now();
             if self.tasks.now >= self.ask_at {
                 self.ask();
@@ -260,7 +296,7 @@
             Mail::Linked(commands) => self.linked(commands),
             Mail::Unlinked => {
                 self.tasks.link.commands = None;
-                self.checks.drain().for_each(|(_, check)| checked(&check.client, check.request, false));
+                self.checks_end();
             }
             Mail::Line(line) => self.line(line),
             Mail::Called { who, outcome, took_ms, body } => self.called(who, outcome, took_ms, &body),
@@ -271,10 +307,17 @@
             }
             Mail::Leave => self.leave(),
             Mail::Report => self.report(),
+            #[cfg(feature = "handover")]
+            Mail::Handover(_) => {}
         }
         self.settle();
     }
 
+    /// Nobody will say how the deep checks end.
+    pub(crate) fn checks_end(&mut self) {
+        self.checks.drain().for_each(|(_, check)| checked(&check.client, check.request, false));
+    }
+
     /// Starts the module, unless it has begun.
     fn begin(&mut self, cold: bool, ago_ms: f64) {
         if self.server.is_none() {
@@ -532,7 +575,7 @@
         if was.runtime == to.runtime {
             return;
         }
-        let _ = self.moves.try_send(to.runtime);
+        let _ = self.moves.try_send(Course::Move(to.runtime));
         if self.tasks.link.replaying {
             // One that is moving goes on; one that takes nothing yet has nothing to lose.
             if !self.tasks.link.move_by.is_finite() {
@@ -618,8 +661,10 @@
 
     fn run_over(&mut self, id: &Id, how: How, body: Vec<u8>) {
         let (Some(server), tasks) = (&mut self.server, &mut self.tasks) else { return };
-        let Some(task) = tasks.by_id.get(id).copied() else { return };
         let result: Option<Arc<[u8]>> = (how == How::Pass).then(|| body.into());
+        #[cfg(feature = "handover")]
+        tasks.ended_elsewhere(id, how == How::Noop, result.as_ref());
+        let Some(task) = tasks.by_id.get(id).copied() else { return };
         let outcome = match (how, &result) {
             (How::Pass, Some(result)) => {
                 tasks.counters.runs_passed.add();
--- a/crates/asterdale-host/src/lib.rs
+++ b/crates/asterdale-host/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod issuer;
 pub mod log;
 pub mod mail;
+#[cfg(feature = "handover")]
+pub mod passing;
 pub mod records;
 pub mod registry;
 pub mod runtime;
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -25,6 +25,7 @@
 
 /// By what a repeat is known: a key, or what a read is about, each within its stage.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[cfg_attr(feature = "handover", derive(serde::Serialize, serde::Deserialize))]
 pub struct Mark {
     /// The stage.
     pub stage: usize,
@@ -124,6 +125,9 @@
     fn close(&self);
     /// Lets every connection end once all that has come over it is answered.
     fn hush(&self);
+    /// Another process takes what comes from now on (one more connection at the most is taken here), or this
+    /// one again.
+    fn aside(&self, aside: bool);
 }
 
 /// What comes to the host.
@@ -164,6 +168,9 @@
     Keys(Vec<u8>),
     /// The start file was read again: the peers listen here, and this holds of callers, from now on.
     Retold(Peers, Option<Box<asterdale_identity::Facts>>),
+    /// A step of a handover.
+    #[cfg(feature = "handover")]
+    Handover(crate::passing::Step),
     /// The notice to leave.
     Leave,
     /// Print the counters.
@@ -201,6 +208,16 @@
     Leave,
     /// The registry listens here from now on.
     Move(SocketAddr),
+    /// Another process reports from now on, or this one again.
+    Quiet(bool),
+}
+
+/// What the runtime's actor is told.
+pub enum Course {
+    /// The runtime listens here from now on.
+    Move(SocketAddr),
+    /// The link is another process's from now on, or this one's again.
+    Quiet(bool),
 }
 
 /// A line from the runtime.
--- /dev/null
+++ b/crates/asterdale-host/src/passing.rs
@@ -0,0 +1,492 @@
+//! The host's state, as it passes to another process, and the host's part in a handover: it stops, gives its state,
+//! and from then on carries between its own connections and its successor; or it goes on, or takes the work back.
+//! When which of these is to be done is decided by `asterdale_handover::giver`.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use asterdale::{Handle, Machine, Server};
+use asterdale_identity::Caller;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use serde::{Deserialize, Serialize};
+
+use crate::fingerprints::Passed as Remembered;
+use crate::host::{Begin, Host};
+use crate::mail::{Client, Course, Id, Mail, Mark, Reply, Request, Serial, Way, Word};
+use crate::runtime;
+use crate::tasks::{Sent, Slot, Tasks};
+
+/// Proof that all commands on the link have arrived is waited for so long before the state is made without it.
+const PROOF: Duration = Duration::from_millis(250);
+/// How often connections that are still there are asked to end, once the work is another's.
+const HUSH: Duration = Duration::from_millis(50);
+/// A guardian stays for so long after the last window that it knows of, in milliseconds.
+const AFTER: f64 = 1000.0;
+
+/// A step of a handover, as the host does it.
+pub enum Step {
+    /// Send a state to be tried; go on.
+    Try(Sender<Vec<u8>>),
+    /// Stop, and send the state.
+    Freeze(Sender<Vec<u8>>),
+    /// Go on: the work stays here.
+    Thaw,
+    /// The work is another's: carry what comes to it.
+    Give(Box<dyn Port>),
+    /// An answer to a request that was carried, or whose task passed.
+    Reply(Way, Reply),
+    /// What the other has started, remembered, ended.
+    Mirrored(Mirrored),
+    /// The other has ended: take the work back.
+    Resume,
+    /// Leave without a word, once the connections have ended: nobody needs a guardian any more.
+    Exit,
+    /// Nobody guards this process any more.
+    Alone,
+}
+
+/// The way to a successor.
+pub trait Port: Send {
+    /// A task has come. How long it may have lain unread is in its `since`.
+    fn task(&mut self, way: Way, request: &Request);
+    /// A health check has come.
+    fn check(&mut self, way: Way, deep: bool);
+    /// Nobody waits any more: for a request, or for any of a connection.
+    fn left(&mut self, connection: u64, request: Option<u16>);
+    /// A call that was made here has ended.
+    fn called(&mut self, who: Serial, outcome: asterdale::told::Outcome, took_ms: f64, body: &[u8]);
+    /// All connections have ended and all windows have lapsed: nothing is guarded any more.
+    fn done(&mut self);
+}
+
+/// What a guardian is told, before it takes effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Mirrored {
+    /// A fingerprint is remembered.
+    Remembered {
+        /// The mark.
+        mark: Mark,
+        /// Its task, and what tells the body from others.
+        owner: (Serial, u64),
+        /// Until then, in the module's time.
+        until: f64,
+    },
+    /// A task that must not run twice is started.
+    Started {
+        /// Its id.
+        id: Id,
+        /// Its mark and its serial, where it has a mark.
+        mark: Option<(Mark, Serial)>,
+    },
+    /// A remembered task has ended.
+    Ended {
+        /// The mark.
+        mark: Mark,
+        /// Its task.
+        owner: Serial,
+        /// Its result, if there is one.
+        result: Option<Arc<[u8]>>,
+    },
+    /// A fingerprint is forgotten.
+    Forgotten {
+        /// The mark.
+        mark: Mark,
+        /// Its task.
+        owner: Serial,
+    },
+}
+
+/// Where what a guardian must know is told.
+pub type Mirror = Box<dyn FnMut(Mirrored) + Send>;
+
+/// A task that passes.
+#[derive(Serialize, Deserialize)]
+struct PassedTask {
+    handle: Handle,
+    serial: Serial,
+    id: Id,
+    stage: usize,
+    body: Vec<u8>,
+    sign: u64,
+    way: Option<Way>,
+    mark: Option<Mark>,
+    caller: Option<Caller>,
+    place: Option<(u32, String)>,
+    started: bool,
+    void: bool,
+    wants: Option<(u64, Vec<u8>)>,
+    sent: Option<Sent>,
+}
+
+/// All that passes.
+#[derive(Serialize, Deserialize)]
+struct Passed {
+    now: f64,
+    server: Option<Vec<u8>>,
+    serial: Serial,
+    tasks: Vec<PassedTask>,
+    remembered: Remembered,
+    identity: Option<asterdale_identity::Passed>,
+    callers: HashMap<u32, usize>,
+    /// The last notice read, and the gauges asked for and come.
+    link: (u64, u64, u64),
+    good: bool,
+    stored: bool,
+}
+
+/// What a guardian knows beyond its own state.
+#[derive(Default)]
+struct Guarding {
+    /// Requests that were carried, and are not answered.
+    carried: HashMap<Way, Arc<dyn Client>>,
+    /// Tasks that the other has started.
+    elsewhere: HashMap<Id, Option<(Mark, Serial)>>,
+    /// The last window that it knows of ends then.
+    until: f64,
+    port: Option<Box<dyn Port>>,
+}
+
+/// What a host that has given its work away, or is about to, does with its mail.
+#[derive(Default)]
+pub struct Aside {
+    frozen: bool,
+    /// Mail that waits while it is not sure whose the work is.
+    kept: Vec<Mail>,
+    guarding: Option<Guarding>,
+    /// It is to leave.
+    gone: bool,
+}
+
+impl Aside {
+    /// Whether nothing may be decided here.
+    pub fn stands(&self) -> bool {
+        self.frozen || self.guarding.is_some()
+    }
+}
+
+/// Whether a host with so many stages could go on with this state.
+pub fn check_state(state: &[u8], stages: usize) -> Result<(), String> {
+    let passed: Passed = rmp_serde::from_slice(state).map_err(|e| format!("the state: {e}"))?;
+    let Some(server) = passed.server else { return Ok(()) };
+    let server = Server::restore(&server).map_err(|e| format!("the module's state: {e:?}"))?;
+    if server.stages() != stages {
+        return Err("the start file has other stages than the state".to_owned());
+    }
+    Ok(())
+}
+
+fn encode(passed: &Passed) -> Vec<u8> {
+    // Maps, lists and numbers alone are written, into memory: that can't fail.
+    rmp_serde::to_vec_named(passed).unwrap_or_default()
+}
+
+fn task(handle: Handle, slot: &Slot, tasks: &Tasks) -> PassedTask {
+    PassedTask {
+        handle,
+        serial: slot.serial,
+        id: slot.id,
+        stage: slot.stage,
+        body: slot.body.clone(),
+        sign: slot.sign,
+        way: slot.back.as_ref().map(|(client, request)| (client.connection(), *request)),
+        mark: slot.mark.clone(),
+        caller: slot.caller.as_deref().cloned(),
+        place: slot.seat.as_ref().and_then(|seat| tasks.callers.place(seat)),
+        started: slot.started,
+        void: slot.void,
+        wants: slot.wants.clone(),
+        sent: slot.sent.clone(),
+    }
+}
+
+impl Host {
+    fn pass(&self) -> Vec<u8> {
+        let tasks = &self.tasks;
+        let all = tasks.by_serial.values().filter_map(|handle| {
+            let slot = tasks.slots.get(handle.index())?.as_ref()?;
+            Some(task(*handle, slot, tasks))
+        });
+        encode(&Passed {
+            now: tasks.now,
+            server: self.server.as_ref().map(Server::snapshot),
+            serial: tasks.serial,
+            tasks: all.collect(),
+            remembered: tasks.fingerprints.pass(),
+            identity: tasks.callers.pass(),
+            callers: self.callers.clone(),
+            link: (tasks.link.last, tasks.link.asked, tasks.link.came),
+            good: tasks.good,
+            stored: tasks.stored,
+        })
+    }
+
+    /// A host that goes on with the state of another. `client` makes a way back over the other's connection.
+    /// What does not fit together, or not with the start file, is refused.
+    pub fn go_on(
+        begin: Begin,
+        around: crate::host::Around,
+        state: &[u8],
+        client: &dyn Fn(u64) -> Arc<dyn Client>,
+        mirror: Option<Mirror>,
+    ) -> Result<Host, String> {
+        let passed: Passed = rmp_serde::from_slice(state).map_err(|e| format!("the state: {e}"))?;
+        let server = passed.server.map(|server| Server::restore(&server)).transpose();
+        let server = server.map_err(|e| format!("the module's state: {e:?}"))?;
+        let stages = begin.facts.stages.len();
+        if server.as_ref().is_some_and(|server| server.stages() != stages) {
+            return Err("the start file has other stages than the state".to_owned());
+        }
+        let mut host = Host::new(begin, around);
+        host.clock.set(passed.now);
+        let tasks = &mut host.tasks;
+        tasks.now = passed.now;
+        tasks.serial = passed.serial;
+        tasks.fingerprints.go_on(passed.remembered);
+        if let Some(identity) = passed.identity {
+            tasks.callers.go_on(passed.now, identity)?;
+        }
+        for task in passed.tasks {
+            if task.stage >= stages || task.handle.index() > 1 << 24 {
+                return Err("a task of the state makes no sense".to_owned());
+            }
+            let seat = task.place.and_then(|place| tasks.callers.replace(&place));
+            let back = task.way.map(|(connection, request)| (client(connection), request));
+            tasks.arriving = Some(Slot {
+                serial: task.serial,
+                id: task.id,
+                stage: task.stage,
+                body: task.body,
+                sign: task.sign,
+                back,
+                mark: task.mark,
+                caller: task.caller.map(Arc::new),
+                seat,
+                started: task.started,
+                void: task.void,
+                wants: task.wants,
+                sent: task.sent,
+            });
+            tasks.counters.tasks_taken.add();
+            tasks.counters.tasks_open.add();
+            tasks.seat(task.handle);
+        }
+        (tasks.link.last, tasks.link.asked, tasks.link.came) = passed.link;
+        (tasks.good, tasks.stored) = (passed.good, passed.stored);
+        tasks.mirror = mirror;
+        tasks.wake_at = passed.now;
+        host.callers = passed.callers;
+        host.server = server;
+        Ok(host)
+    }
+
+    /// A word for the log of where this host stands.
+    pub fn gist(&self) -> Option<asterdale::snapshot::Gist> {
+        self.server.as_ref().map(Server::gist)
+    }
+
+    /// One step of a handover.
+    pub(crate) fn step(&mut self, step: Step, mailbox: &Receiver<Mail>) {
+        match step {
+            // Of one that leaves there is nothing to take: the way back is dropped.
+            Step::Try(_) | Step::Freeze(_) if self.leave_by.is_some() => {}
+            Step::Try(to) => drop(to.send(self.pass())),
+            Step::Freeze(to) => self.freeze(&to, mailbox),
+            Step::Thaw => {
+                self.aside.frozen = false;
+                self.tasks.wake_at = self.tasks.wake_at.min(self.clock.now());
+                self.link_again();
+                self.handle_kept(mailbox);
+            }
+            Step::Give(port) => self.give(port, mailbox),
+            Step::Reply(way, reply) => self.relay(way, reply),
+            Step::Mirrored(what) => self.mirrored(what),
+            Step::Resume => self.resume(mailbox),
+            Step::Exit => {
+                if let Some(guarding) = &mut self.aside.guarding {
+                    guarding.until = f64::NEG_INFINITY;
+                }
+            }
+            Step::Alone => self.tasks.mirror = None,
+        }
+    }
+
+    fn handle_kept(&mut self, mailbox: &Receiver<Mail>) {
+        for mail in std::mem::take(&mut self.aside.kept) {
+            self.take_mail(mail, mailbox);
+        }
+    }
+
+    /// Stops. What was sent to the runtime has arrived by the time the state is made, or counts as unproven;
+    /// what the runtime says meanwhile is in the state. Nothing new is started: the link takes no commands.
+    fn freeze(&mut self, to: &Sender<Vec<u8>>, mailbox: &Receiver<Mail>) {
+        let end = Instant::now() + PROOF;
+        if self.tasks.link.commands.is_some() && !self.tasks.link.replaying {
+            self.tasks.send(runtime::ask("gauges", crate::host::LAST));
+        }
+        self.tasks.link.replaying = true;
+        while self.tasks.link.commands.is_some() {
+            let left = end.saturating_duration_since(Instant::now());
+            match mailbox.recv_timeout(left) {
+                Ok(mail @ Mail::Line(_)) => self.take_mail(mail, mailbox),
+                Ok(mail) => self.aside.kept.push(mail),
+                Err(_) => break,
+            }
+        }
+        self.tasks.link.commands = None;
+        let _ = self.moves.try_send(Course::Quiet(true));
+        self.checks_end();
+        self.aside.frozen = true;
+        self.tasks.now = self.clock.now();
+        let _ = to.send(self.pass());
+    }
+
+    /// The link is this process's again: what may not have arrived is sent again on the new one.
+    fn link_again(&mut self) {
+        self.tasks.link.replaying = true;
+        let _ = self.moves.try_send(Course::Quiet(false));
+    }
+
+    fn give(&mut self, port: Box<dyn Port>, mailbox: &Receiver<Mail>) {
+        let until = self.tasks.fingerprints.last_window().max(self.tasks.now);
+        self.aside.frozen = false;
+        self.aside.guarding = Some(Guarding { port: Some(port), until, ..Guarding::default() });
+        let _ = self.list.try_send(Word::Quiet(true));
+        self.tasks.fronts.aside(true);
+        self.tasks.fronts.hush();
+        slog::info!(self.tasks.log.lines, "upgrade: the work is the new process's; this one guards it");
+        self.handle_kept(mailbox);
+    }
+
+    /// Carries mail to the successor; gives back what is this host's own all the same.
+    pub(crate) fn carry(&mut self, mail: Mail) -> Option<Mail> {
+        let Some(Guarding { carried, port: Some(port), .. }) = &mut self.aside.guarding else {
+            if matches!(mail, Mail::Handover(_)) {
+                return Some(mail);
+            }
+            self.aside.kept.push(mail);
+            return None;
+        };
+        match mail {
+            Mail::Task(request) => {
+                let way = (request.client.connection(), request.request);
+                if carried.contains_key(&way) || self.tasks.by_way.contains_key(&way) {
+                    request.client.drop_one();
+                } else {
+                    port.task(way, &request);
+                    carried.insert(way, request.client);
+                }
+            }
+            Mail::Check { client, request, deep } => {
+                let way = (client.connection(), request);
+                port.check(way, deep);
+                carried.insert(way, client);
+            }
+            Mail::Abort((connection, request)) => port.left(connection, Some(request)),
+            Mail::Gone(connection) => port.left(connection, None),
+            Mail::Called { who, outcome, took_ms, body } => port.called(who, outcome, took_ms, &body),
+            // The peers, the link and the keys are the successor's.
+            Mail::Linked(_) | Mail::Unlinked | Mail::Line(_) | Mail::Keys(_) | Mail::Retold(..) => {}
+            Mail::Leave => self.aside.gone = true,
+            mail @ (Mail::Report | Mail::Handover(_)) => return Some(mail),
+        }
+        None
+    }
+
+    fn relay(&mut self, way: Way, reply: Reply) {
+        if let Some(task) = self.tasks.by_way.get(&way).copied() {
+            self.tasks.answer(task, reply);
+            return;
+        }
+        let Some(guarding) = &mut self.aside.guarding else { return };
+        if let Some(client) = guarding.carried.remove(&way) {
+            client.answer(way.1, reply);
+        }
+    }
+
+    fn mirrored(&mut self, what: Mirrored) {
+        let Some(guarding) = &mut self.aside.guarding else { return };
+        let tasks = &mut self.tasks;
+        match what {
+            Mirrored::Remembered { mark, owner, until } => {
+                guarding.until = guarding.until.max(until);
+                tasks.serial = tasks.serial.max(owner.0);
+                // Whoever waited for an earlier one is the other's.
+                drop(tasks.fingerprints.remember(mark, owner, until, None));
+            }
+            Mirrored::Started { id, mark } => {
+                tasks.serial = tasks.serial.max(mark.as_ref().map_or(0, |(_, owner)| *owner));
+                guarding.elsewhere.insert(id, mark);
+            }
+            Mirrored::Ended { mark, owner, result } => {
+                drop(tasks.fingerprints.ended(&mark, owner, tasks.now, result));
+            }
+            Mirrored::Forgotten { mark, owner } => drop(tasks.fingerprints.forget(&mark, owner)),
+        }
+    }
+
+    /// Takes the work back. What the other has started is not started again here: its clients hear that nothing
+    /// is promised, and its results come with the notices that were missed.
+    fn resume(&mut self, mailbox: &Receiver<Mail>) {
+        let Some(guarding) = self.aside.guarding.take() else { return };
+        slog::error!(self.tasks.log.lines, "upgrade: the new process has ended; this one takes the work back";
+            "started_there" => guarding.elsewhere.len(), "unanswered" => guarding.carried.len());
+        self.tasks.now = self.clock.now();
+        for ((_, request), client) in guarding.carried {
+            client.answer(request, Reply::Abandoned);
+        }
+        self.tasks.elsewhere = guarding.elsewhere;
+        self.tasks.fronts.aside(false);
+        let _ = self.list.try_send(Word::Quiet(false));
+        self.link_again();
+        let over: Vec<Handle> = (self.tasks.by_serial.values().copied())
+            .filter(|task| {
+                let slot = self.tasks.slots.get(task.index()).and_then(Option::as_ref);
+                slot.is_some_and(|slot| {
+                    !slot.started && (slot.back.is_none() || self.tasks.elsewhere.contains_key(&slot.id))
+                })
+            })
+            .collect();
+        // All are marked before the module hears of the first: what it frees must start none of the others.
+        for task in &over {
+            if let Some(slot) = self.tasks.slot(*task) {
+                slot.void = true;
+            }
+            self.tasks.failed(*task);
+        }
+        for task in over {
+            if let Some(server) = &mut self.server {
+                task.caller_left(server, self.tasks.now, &mut self.tasks);
+            }
+        }
+        self.tasks.wake_at = self.tasks.now;
+        self.handle_kept(mailbox);
+    }
+
+    /// What a host does that has given its work away; `true` once it has left.
+    pub(crate) fn guard(&mut self, mailbox: &Receiver<Mail>) -> bool {
+        let mut hush = Instant::now();
+        while self.aside.stands() {
+            match mailbox.recv_timeout(HUSH) {
+                Ok(mail) => self.take_mail(mail, mailbox),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return true,
+            }
+            self.tasks.now = self.clock.now();
+            let Some(guarding) = &mut self.aside.guarding else { continue };
+            let open = self.tasks.fronts.open();
+            if self.aside.gone || open == 0 && self.tasks.now > guarding.until + AFTER {
+                if let Some(port) = &mut guarding.port {
+                    port.done();
+                }
+                slog::info!(self.tasks.log.lines, "upgrade: this process leaves"; "connections" => open);
+                return true;
+            }
+            if Instant::now() >= hush {
+                hush = Instant::now() + HUSH;
+                self.tasks.fronts.hush();
+            }
+        }
+        false
+    }
+}
--- a/crates/asterdale-host/src/registry.rs
+++ b/crates/asterdale-host/src/registry.rs
@@ -54,6 +54,16 @@
         match mailbox.recv_timeout(wait) {
             Ok(Word::Leave) => state = "draining",
             Ok(Word::Move(to)) => at = to,
+            Ok(Word::Quiet(true)) => loop {
+                match mailbox.recv() {
+                    Ok(Word::Quiet(false)) => break,
+                    Ok(Word::Leave) => state = "draining",
+                    Ok(Word::Move(to)) => at = to,
+                    Ok(Word::Quiet(true)) => {}
+                    Err(_) => return,
+                }
+            },
+            Ok(Word::Quiet(false)) => {}
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
--- a/crates/asterdale-host/src/runtime.rs
+++ b/crates/asterdale-host/src/runtime.rs
@@ -15,7 +15,7 @@
 use crate::counters::Counters;
 use crate::gather;
 use crate::log::{Kind, Log};
-use crate::mail::{text, How, Id, Line, Mail};
+use crate::mail::{text, Course, How, Id, Line, Mail};
 
 /// Lines that wait to be written. A runtime that reads none of so many is taken for gone.
 const WAITING: usize = 4096;
@@ -98,16 +98,29 @@
 /// Keeps the link for as long as the host is there, to the address that it was last told.
 pub fn link(
     mut at: SocketAddr,
-    moves: &Receiver<SocketAddr>,
+    moves: &Receiver<Course>,
     host: &Sender<Mail>,
     counters: &Arc<Counters>,
     log: &Log,
 ) {
     static LINKED: Kind = Kind::new();
     static BROKEN: Kind = Kind::new();
-    let mut told = false;
+    let (mut told, mut quiet) = (false, false);
     loop {
-        at = moves.try_iter().last().unwrap_or(at);
+        for course in moves.try_iter() {
+            match course {
+                Course::Move(to) => at = to,
+                Course::Quiet(now) => quiet = now,
+            }
+        }
+        // Another process has the link: to make one would take it away.
+        while quiet {
+            match moves.recv() {
+                Ok(Course::Move(to)) => at = to,
+                Ok(Course::Quiet(now)) => quiet = now,
+                Err(_) => return,
+            }
+        }
         let (why, lasted) = match TcpStream::connect_timeout(&at, PATIENCE) {
             Ok(stream) => {
                 counters.links.add();
@@ -127,7 +140,11 @@
         }
         // One that had lasted is made again at once. A word that comes meanwhile is a new address.
         if !lasted {
-            at = moves.recv_timeout(AGAIN).unwrap_or(at);
+            match moves.recv_timeout(AGAIN) {
+                Ok(Course::Move(to)) => at = to,
+                Ok(Course::Quiet(now)) => quiet = now,
+                Err(_) => {}
+            }
         }
     }
 }
--- a/crates/asterdale-host/src/tasks.rs
+++ b/crates/asterdale-host/src/tasks.rs
@@ -16,10 +16,14 @@
 use crate::fingerprints::{Fate, Fingerprints};
 use crate::log::{Kind, Log};
 use crate::mail::{text, Call, Client, Fronts, Id, Mark, Reply, Serial, Way};
+#[cfg(feature = "handover")]
+use crate::passing::Mirrored;
 use crate::records::Records;
 use crate::runtime;
 
 /// The last command about a task, which may be under way when the link breaks.
+#[derive(Clone)]
+#[cfg_attr(feature = "handover", derive(serde::Serialize, serde::Deserialize))]
 pub struct Sent {
     pub line: String,
     /// The gauges that were asked for next after it: their coming proves that it arrived.
@@ -121,6 +125,12 @@
     pub not_begun: VecDeque<Serial>,
     /// Runs that were not started, likewise.
     pub not_started: VecDeque<Serial>,
+    /// Hears of what must be known, should this process end.
+    #[cfg(feature = "handover")]
+    pub mirror: Option<crate::passing::Mirror>,
+    /// Tasks that another process has started, before this one took its work back.
+    #[cfg(feature = "handover")]
+    pub elsewhere: HashMap<Id, Option<(Mark, Serial)>>,
     pub link: Link,
     pub records: Records,
     pub fronts: Arc<dyn Fronts>,
@@ -147,7 +157,8 @@
         let before = self.link.asked;
         let handed = self.send(line.clone());
         if let Some(slot) = self.slot(task) {
-            slot.sent = Some(Sent { line, before, handed, adrift: false, harmless });
+            // One that no link took goes out on the next, whatever that has proven of others.
+            slot.sent = Some(Sent { line, before, handed, adrift: !handed, harmless });
         }
     }
 
@@ -213,9 +224,25 @@
         let now = self.now;
         let Some(slot) = self.slot(task) else { return };
         let (serial, Some(mark)) = (slot.serial, slot.mark.clone()) else { return };
+        #[cfg(feature = "handover")]
+        if let Some(mirror) = &mut self.mirror {
+            mirror(Mirrored::Ended { mark: mark.clone(), owner: serial, result: result.cloned() });
+        }
         let waiting = self.fingerprints.ended(&mark, serial, now, result.cloned());
         self.tell(waiting, result);
     }
+
+    /// A run has ended that another process had started: whoever repeats it gets its result.
+    #[cfg(feature = "handover")]
+    pub fn ended_elsewhere(&mut self, id: &Id, void: bool, result: Option<&Arc<[u8]>>) {
+        let Some(Some((mark, owner))) = self.elsewhere.remove(id) else { return };
+        let waiting = if void {
+            self.fingerprints.forget(&mark, owner)
+        } else {
+            self.fingerprints.ended(&mark, owner, self.now, result.cloned())
+        };
+        self.tell(waiting, result);
+    }
 }
 
 impl Machine for Tasks {
@@ -259,6 +286,13 @@
         slot.started = true;
         let line = runtime::start(&slot.id, &facts.stages[slot.stage], &slot.body);
         let harmless = facts.told.stages[slot.stage].repeat == Repeat::Restartable;
+        #[cfg(feature = "handover")]
+        if let (false, Some(mirror)) = (harmless, &mut self.mirror) {
+            if let Some(slot) = self.slots.get(task.index()).and_then(Option::as_ref) {
+                let mark = slot.mark.clone().map(|mark| (mark, slot.serial));
+                mirror(Mirrored::Started { id: slot.id, mark });
+            }
+        }
         self.counters.runs_started.add();
         self.command(task, line, harmless);
     }
@@ -303,12 +337,25 @@
         if restartable && self.fingerprints.is_full() {
             return; // a repeat of it runs by itself
         }
+        #[cfg(feature = "handover")]
+        if let (false, Some(mirror)) = (restartable, &mut self.mirror) {
+            mirror(Mirrored::Remembered { mark: mark.clone(), owner: (serial, sign), until });
+        }
         let before = self.fingerprints.remember(mark, (serial, sign), until, restartable.then_some(for_ms));
         self.tell(before, None);
     }
     fn forget(&mut self, task: Handle) {
         let Some(slot) = self.slot(task) else { return };
-        let (serial, Some(mark)) = (slot.serial, slot.mark.clone()) else { return };
+        let (serial, id, Some(mark)) = (slot.serial, slot.id, slot.mark.clone()) else { return };
+        #[cfg(feature = "handover")]
+        if self.elsewhere.contains_key(&id) {
+            return; // another process has started it: it may have run
+        }
+        #[cfg(feature = "handover")]
+        if let Some(mirror) = &mut self.mirror {
+            mirror(Mirrored::Forgotten { mark: mark.clone(), owner: serial });
+        }
+        let _ = id;
         let waiting = self.fingerprints.forget(&mark, serial);
         self.tell(waiting, None);
     }
--- a/crates/asterdale-identity/src/keyring.rs
+++ b/crates/asterdale-identity/src/keyring.rs
@@ -138,6 +138,7 @@
     ends: bool,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Seen {
     bytes: [u8; 32],
     revoked: bool,
@@ -145,6 +146,13 @@
     last: u64,
 }
 
+/// What a ring knows beyond the start file.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Passed {
+    set: Option<Vec<u8>>,
+    seen: HashMap<String, Seen>,
+}
+
 /// The keys, as the sets so far tell them.
 pub struct Keyring {
     roots: Vec<VerifyingKey>,
@@ -261,6 +269,25 @@
         self.last = Some((set.seq, text.to_vec()));
     }
 
+    /// What the ring knows beyond the start file, for a process that goes on with it.
+    pub fn pass(&self) -> Passed {
+        let set = self.last.as_ref().map(|(_, text)| text.clone());
+        Passed { set, seen: self.seen.clone() }
+    }
+
+    /// Goes on with what another process knew. The set is judged as any that is offered.
+    pub fn go_on(&mut self, now: f64, passed: Passed) -> Result<(), Refused> {
+        if let Some(set) = &passed.set {
+            self.offer(now, set)?;
+        }
+        let room = MOST_SEEN.saturating_sub(self.seen.len());
+        for (id, seen) in passed.seen.into_iter().take(room) {
+            let known = self.seen.entry(id).or_insert_with(|| seen.clone());
+            known.revoked |= seen.revoked;
+        }
+        Ok(())
+    }
+
     /// The number of the last set.
     pub fn seq(&self) -> Option<u64> {
         self.last.as_ref().map(|(seq, _)| *seq)
--- a/crates/asterdale-identity/src/lib.rs
+++ b/crates/asterdale-identity/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod token;
 mod verdict;
 
-pub use verdict::{Ask, Caller, Certificate, Facts, Identity, Kind, Named, Seat, Why};
+pub use verdict::{Ask, Caller, Certificate, Facts, Identity, Kind, Named, Passed, Seat, Why};
 
 #[cfg(test)]
 mod tests;
--- a/crates/asterdale-identity/src/rights.rs
+++ b/crates/asterdale-identity/src/rights.rs
@@ -195,6 +195,35 @@
         quota.open = quota.open.saturating_sub(1);
     }
 
+    /// All tenants' names by their numbers, for a process that goes on with them.
+    pub fn names(&self) -> Vec<String> {
+        let mut names = vec![String::new(); self.names.by_name.len()];
+        self.names.by_name.iter().for_each(|(name, n)| names[*n].clone_from(name));
+        names
+    }
+
+    /// Numbers tenants as a process before did. To be done before anything else; what the start file tells comes
+    /// after.
+    pub fn go_on(&mut self, names: &[String]) {
+        for name in names.iter().take(MOST_TENANTS) {
+            let n = self.names.of(name);
+            self.tenants.resize(self.tenants.len().max(n + 1), None);
+        }
+    }
+
+    /// Whose place this is, and by which role.
+    pub fn place(&self, seat: &Seat) -> (u32, String) {
+        let role = self.role_names.by_name.iter().find(|(_, n)| **n == seat.role);
+        (seat.tenant, role.map_or_else(String::new, |(name, _)| name.clone()))
+    }
+
+    /// Takes up a place that a task has had already; `None` if there is no such tenant or role any more.
+    pub fn replace(&mut self, (tenant, role): &(u32, String)) -> Option<Seat> {
+        let n = *self.role_names.by_name.get(role)?;
+        self.quotas.get_mut(*tenant as usize)?.get_mut(n)?.open += 1;
+        Some(Seat { tenant: *tenant, role: n })
+    }
+
     /// How many tasks of a tenant are open, in all roles.
     pub fn open(&self, tenant: u32) -> usize {
         self.quotas.get(tenant as usize).map_or(0, |quotas| quotas.iter().map(|quota| quota.open).sum())
--- a/crates/asterdale-identity/src/tests.rs
+++ b/crates/asterdale-identity/src/tests.rs
@@ -326,3 +326,31 @@
         Err(Why::NoKeys)
     );
 }
+
+#[test]
+fn a_process_that_goes_on_knows_the_keys_the_revoked_and_the_numbers_of_tenants() {
+    let mut before = identity();
+    let revoked = set(2, |set| {
+        set.revoked.keys.insert(text("k1"));
+    });
+    before.offer(NOW, revoked.as_bytes()).unwrap();
+    before.offer(NOW, set(3, |_| ()).as_bytes()).unwrap();
+    let other = token(2, |claims| *claims = claims_of_b());
+    let caller = Ask { token: Some(other.as_bytes()), certificate: None, edge: 4, arrived_ms: NOW };
+    let caller = before.identify(NOW, caller).unwrap();
+    let seat = before.permit(NOW, &caller, 0, None, false).unwrap().unwrap();
+    let place = before.place(&seat);
+    // The next start file names the tenants in another order, and one more.
+    let mut told = facts();
+    told.tenants.reverse();
+    told.tenants.insert(0, Tenant { name: text("c"), customer: 0, roles: vec![] });
+    let mut after = Identity::new(NOW, told).unwrap();
+    after.continue_from(NOW, before.pass()).unwrap();
+    assert_eq!(ask(&mut after, NOW, &other), Ok(caller.tenant));
+    assert_eq!(ask(&mut after, NOW, &token(1, |_| ())), Err(Why::KeyRevoked));
+    assert_eq!(after.offer(NOW, set(2, |_| ()).as_bytes()), Err(crate::keyring::Refused::Older));
+    let seat = after.replace(&place).unwrap();
+    assert_eq!(after.rights().open(caller.tenant), 1);
+    after.leave(seat);
+    assert_eq!((after.rights().open(caller.tenant), after.replace(&(9, text("clerk")))), (0, None));
+}
--- a/crates/asterdale-identity/src/verdict.rs
+++ b/crates/asterdale-identity/src/verdict.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ed25519_dalek::VerifyingKey;
+use serde::{Deserialize, Serialize};
 
 use crate::budget::Budget;
 use crate::cache::{Digests, Proven, RefusedTokens};
@@ -153,8 +154,15 @@
     pub arrived_ms: f64,
 }
 
+/// What a process that goes on with an identity needs beside the start file.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Passed {
+    tenants: Vec<String>,
+    ring: crate::keyring::Passed,
+}
+
 /// Who is calling: a token that was proven.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Caller {
     /// The tenant's number, which no other tenant has in the life of this process.
     pub tenant: u32,
@@ -261,6 +269,31 @@
         Ok(offered)
     }
 
+    /// What a process that goes on needs: numbers of tenants, and what the ring knows. Levels of quotas are not
+    /// among it, which costs one burst at most; places are taken again task by task.
+    pub fn pass(&self) -> Passed {
+        Passed { tenants: self.rights.names(), ring: self.ring.pass() }
+    }
+
+    /// Goes on where another process stood. To be done before anything is asked.
+    pub fn continue_from(&mut self, now: f64, passed: Passed) -> Result<(), String> {
+        let mut rights = Rights::default();
+        rights.go_on(&passed.tenants);
+        rights.told(&self.facts.roles, &self.facts.tenants)?;
+        self.rights = rights;
+        self.ring.go_on(now, passed.ring).map_err(|why| format!("the set of keys: {why:?}"))
+    }
+
+    /// Whose place this is, and by which role.
+    pub fn place(&self, seat: &Seat) -> (u32, String) {
+        self.rights.place(seat)
+    }
+
+    /// Takes up a place that a task has had already.
+    pub fn replace(&mut self, place: &(u32, String)) -> Option<Seat> {
+        self.rights.replace(place)
+    }
+
     /// The keys.
     pub fn ring(&self) -> &Keyring {
         &self.ring
--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use asterdale_rig::proofs::{rotation, Order};
+use asterdale_rig::proofs::{rotation, upgrade, Order};
 use asterdale_rig::{demo, flood};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde_json::json;
@@ -36,6 +36,12 @@
         /// How long the load lasts
         #[arg(long, default_value_t = 20)]
         seconds: u64,
+        /// Of the proof upgrade: how many there are
+        #[arg(long, default_value_t = 10)]
+        upgrades: u32,
+        /// And how many of them are made to fail
+        #[arg(long, default_value_t = 3)]
+        fails: u32,
         /// A fault to plant in the daemon: the proof must not hold then
         #[arg(long)]
         plant: Option<String>,
@@ -61,6 +67,8 @@
 enum Proof {
     /// Keys rotate and are revoked under load
     Rotation,
+    /// The serving process is replaced under load
+    Upgrade,
 }
 
 fn main() -> ExitCode {
@@ -70,10 +78,15 @@
                 println!("{text}");
                 true
             }),
-        Command::Prove { name: Proof::Rotation, seed, seconds, plant } => {
-            rotation::prove(&Order { seed, seconds, plant: plant.clone() }).map(|mut figures| {
+        Command::Prove { name, seed, seconds, upgrades, fails, plant } => {
+            let order = Order { seed, seconds, plant: plant.clone() };
+            let (called, figures) = match name {
+                Proof::Rotation => ("rotation", rotation::prove(&order)),
+                Proof::Upgrade => ("upgrade", upgrade::prove(&order, upgrades, fails.min(upgrades))),
+            };
+            figures.map(|mut figures| {
                 let held = figures["held"] == true;
-                (figures["name"], figures["seed"]) = (json!("rotation"), json!(seed));
+                (figures["name"], figures["seed"]) = (json!(called), json!(seed));
                 figures["plant"] = json!(plant);
                 println!("{figures}");
                 held
--- a/crates/asterdale-rig/src/process.rs
+++ b/crates/asterdale-rig/src/process.rs
@@ -98,6 +98,11 @@
         Ok(())
     }
 
+    /// Its start file.
+    pub fn file(&self) -> &Path {
+        &self.file
+    }
+
     /// Its process's number.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/asterdale-rig/src/proofs/mod.rs
+++ b/crates/asterdale-rig/src/proofs/mod.rs
@@ -2,6 +2,7 @@
 //! what it checks. Counts and rules give the verdict, never a time.
 
 pub mod rotation;
+pub mod upgrade;
 
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
--- /dev/null
+++ b/crates/asterdale-rig/src/proofs/upgrade.rs
@@ -0,0 +1,391 @@
+//! A serving process is replaced again and again under a steady load, in ways that go well and in ways that fail.
+//! Held if no task was lost but to a process that was killed, none ran twice, none that ran was said never to have
+//! run, every try under one key got one result, and no connection was refused.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+
+use super::{histogram, quantiles, Order};
+use crate::caller::{Caller, Fate};
+use crate::process::{planted_program, program, Daemon, Recipe};
+use crate::worker::Worker;
+use crate::{scripted, services, unix_ms};
+
+/// Tasks a second in all, and the connections that bring them.
+const RATE: f64 = 200.0;
+const LANES: u32 = 24;
+/// From one upgrade's end to the next one's start.
+const BETWEEN: Duration = Duration::from_millis(700);
+/// A try that breaks off this close to a kill, in milliseconds, was lost to it.
+const KILLED: f64 = 1_500.0;
+
+/// How an upgrade is made to fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// The new program is not there.
+    Missing,
+    /// It can't be executed.
+    NoProgram,
+    /// It ends at once.
+    Ends,
+    /// It reads a start file that makes no sense.
+    BadFile,
+    /// It is killed so many milliseconds after it was started: at any step, or after the commit.
+    Killed(u64),
+    /// Another upgrade is asked for at the same time.
+    Twice,
+}
+
+struct Asked {
+    mark: Option<String>,
+    id: String,
+    sent: f64,
+    answered: f64,
+    status: String,
+    body: Vec<u8>,
+}
+
+struct Play {
+    at: SocketAddr,
+    stop: AtomicBool,
+    all: Mutex<Vec<Asked>>,
+    lost: Mutex<Vec<f64>>,
+    refused: Mutex<Vec<f64>>,
+    recent: Mutex<Vec<String>>,
+}
+
+impl Play {
+    /// One lane: a third of its tasks are bids, half of those repeat a recent one.
+    fn lane(&self, edge: u32, seed: u64) {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut caller = Caller::new(self.at);
+        let every = Duration::from_secs_f64(f64::from(LANES) / RATE);
+        let mut next = Instant::now() + every.mul_f64(f64::from(random.next_u32() % 1000) / 1000.0);
+        let number = (edge % 4).to_string();
+        while !self.stop.load(Ordering::Relaxed) {
+            thread::sleep(next.saturating_duration_since(Instant::now()));
+            next += every;
+            let id = format!("{:016x}", random.next_u64());
+            let mark = (random.next_u32() % 3 == 0).then(|| {
+                let mut recent = self.recent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                if random.next_u32() % 2 == 0 && !recent.is_empty() {
+                    return recent[random.next_u32() as usize % recent.len()].clone();
+                }
+                let mark = format!("{:016x}{:016x}", random.next_u64(), random.next_u64());
+                if recent.len() >= 400 {
+                    recent.remove(0);
+                }
+                recent.push(mark.clone());
+                mark
+            });
+            let sent = unix_ms();
+            let start = (sent as u64).to_string();
+            let fields = [
+                ("HTTP_X_REQUEST_ID", id.as_str()),
+                ("HTTP_X_REQUEST_START", &start),
+                ("HTTP_X_CALLER", &number),
+                ("HTTP_X_TIMEOUT_MS", "10000"),
+                ("HTTP_X_COST_MS", "10"),
+                ("HTTP_X_MEMORY_KB", "8"),
+                ("HTTP_IDEMPOTENCY_KEY", mark.as_deref().unwrap_or_default()),
+            ];
+            let path = if mark.is_some() { "/v1/bid" } else { "/v1/page" };
+            let body = mark.clone().unwrap_or_default();
+            match caller.ask(path, &fields, body.as_bytes()) {
+                Fate::Refused => note(&self.refused, sent),
+                Fate::Lost => note(&self.lost, unix_ms()),
+                Fate::Answered(answer) => {
+                    let status = answer.status().to_owned();
+                    let asked = Asked { mark, id, sent, answered: unix_ms(), status, body: answer.body };
+                    if let Ok(mut all) = self.all.lock() {
+                        all.push(asked);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn note(to: &Mutex<Vec<f64>>, at: f64) {
+    if let Ok(mut to) = to.lock() {
+        to.push(at);
+    }
+}
+
+/// Processes that this one has started, and that are there.
+fn children(id: u32) -> Vec<u32> {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else { return Vec::new() };
+    let lists =
+        threads.flatten().filter_map(|thread| std::fs::read_to_string(thread.path().join("children")).ok());
+    let all: Vec<String> = lists.collect();
+    all.iter().flat_map(|list| list.split_whitespace()).filter_map(|id| id.parse().ok()).collect()
+}
+
+fn alive(id: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.rsplit(") ").next().and_then(|rest| rest.chars().next()).is_some_and(|state| !"ZX".contains(state))
+}
+
+fn signal(id: u32, name: &str) {
+    let _ = Command::new("sh").args(["-c", &format!("kill -{name} {id} 2>/dev/null")]).status();
+}
+
+fn resident(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Asks for an upgrade by the command line; whether it was done.
+fn upgrade(program: &Path, control: &Path, binary: Option<&Path>) -> bool {
+    let mut command = Command::new(program);
+    command.arg("upgrade").arg("--control").arg(control);
+    if let Some(binary) = binary {
+        command.arg("--binary").arg(binary);
+    }
+    command.output().is_ok_and(|output| output.status.success())
+}
+
+struct Site {
+    folder: PathBuf,
+    file: PathBuf,
+    control: PathBuf,
+    program: PathBuf,
+    text: String,
+}
+
+impl Site {
+    fn path(&self, name: &str, text: &str, mode: u32) -> PathBuf {
+        let path = self.folder.join(name);
+        let _ = std::fs::write(&path, text);
+        let _ = std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode));
+        path
+    }
+
+    /// One upgrade of the process that serves; which serves after it, and whether it was done.
+    fn once(&self, serving: u32, failure: Option<Failure>, kills: &Mutex<Vec<f64>>) -> (u32, bool) {
+        let before = children(serving);
+        let binary = match failure {
+            Some(Failure::Missing) => Some(self.folder.join("nowhere")),
+            Some(Failure::NoProgram) => Some(self.path("text", "no program", 0o644)),
+            Some(Failure::Ends) => Some(self.path("ends", "#!/bin/sh\nexit 7\n", 0o755)),
+            _ => None,
+        };
+        if failure == Some(Failure::BadFile) {
+            let _ = std::fs::write(&self.file, "{\"name\": 5}");
+        }
+        let killer = match failure {
+            Some(Failure::Killed(after)) => {
+                let known = before.clone();
+                Some(thread::spawn(move || {
+                    let end = Instant::now() + Duration::from_secs(5);
+                    while Instant::now() < end {
+                        if let Some(new) = children(serving).into_iter().find(|id| !known.contains(id)) {
+                            thread::sleep(Duration::from_millis(after));
+                            signal(new, "KILL");
+                            return Some(unix_ms());
+                        }
+                        thread::sleep(Duration::from_millis(1));
+                    }
+                    None
+                }))
+            }
+            _ => None,
+        };
+        let second = (failure == Some(Failure::Twice)).then(|| {
+            let (program, control) = (self.program.clone(), self.control.clone());
+            thread::spawn(move || upgrade(&program, &control, None))
+        });
+        let mut done = upgrade(&self.program, &self.control, binary.as_deref());
+        if let Some(second) = second {
+            // One of the two is turned away, unless they followed each other.
+            done |= second.join().unwrap_or(false);
+        }
+        if let Some(killer) = killer {
+            if let Ok(Some(at)) = killer.join() {
+                note(kills, at);
+                // Its end is heard, and the work taken back, where it had it.
+                thread::sleep(Duration::from_millis(300));
+            }
+        }
+        let _ = std::fs::write(&self.file, &self.text);
+        // Two upgrades may have followed each other: the last one's process serves.
+        let mut last = serving;
+        while let Some(new) = children(last).into_iter().find(|id| alive(*id)) {
+            last = new;
+        }
+        (last, done)
+    }
+}
+
+/// Judges everything that happened; what was wrong, and figures.
+fn judge(play: &Play, runs: &HashMap<String, u32>, kills: &[f64]) -> (Vec<String>, BTreeMap<String, u64>) {
+    let (mut wrong, mut counts) = (Vec::new(), BTreeMap::new());
+    let all = play.all.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut results: HashMap<&str, &[u8]> = HashMap::new();
+    let mut by_mark: HashMap<&str, u32> = HashMap::new();
+    for asked in all.iter() {
+        *counts.entry(format!("answered {}", asked.status)).or_default() += 1;
+        let ran = runs.get(&asked.id).copied().unwrap_or(0);
+        if ran > 1 {
+            wrong.push(format!("{} ran {ran} times", asked.id));
+        }
+        if ran > 0 && matches!(asked.status.as_str(), "503" | "429") {
+            wrong.push(format!("{} ran, and was told that it never did", asked.id));
+        }
+        if let Some(mark) = &asked.mark {
+            *by_mark.entry(mark).or_default() += ran;
+            if asked.status == "200" && *results.entry(mark).or_insert(&asked.body) != asked.body {
+                wrong.push(format!("two results under {mark}, one at {:.0}", asked.sent));
+            }
+        }
+    }
+    wrong.extend(
+        by_mark.iter().filter(|(_, runs)| **runs > 1).map(|(mark, runs)| format!("{mark} ran {runs} times")),
+    );
+    let lost = play.lost.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    for at in lost.iter() {
+        if kills.iter().any(|kill| (at - kill).abs() < KILLED) {
+            *counts.entry("lost to a kill".to_owned()).or_default() += 1;
+        } else {
+            wrong.push(format!("lost at {at:.0}"));
+        }
+    }
+    let refused = play.refused.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    wrong.extend(refused.iter().map(|at| format!("refused at {at:.0}")));
+    (wrong, counts)
+}
+
+/// Runs the proof. The seconds are how many upgrades there are, a fifth of them made to fail.
+pub fn prove(order: &Order, upgrades: u32, fails: u32) -> Result<Value, String> {
+    let told = |e: std::io::Error| e.to_string();
+    let mut random = Pcg64Mcg::seed_from_u64(order.seed);
+    let program = if order.plant.is_some() { planted_program()? } else { program() };
+    let program = std::fs::canonicalize(&program).unwrap_or(program);
+    let worker = Worker::start(8, (5, 40)).map_err(told)?;
+    let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
+    let folder =
+        std::env::temp_dir().join(format!("asterdale-upgrade-{}-{}", std::process::id(), order.seed));
+    std::fs::create_dir_all(&folder).map_err(told)?;
+    std::fs::set_permissions(&folder, std::fs::Permissions::from_mode(0o700)).map_err(told)?;
+    let control = folder.join("control");
+    let mut start = scripted::config(scripted::address(), worker.at, records, registry);
+    start["settings"]["extra"]["cores"] = json!(8);
+    start["upgrade"] = json!({"control": control});
+    let at = start["listen"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
+    let text = start.to_string();
+    let mut daemon = Daemon::start(&Recipe { program: program.clone(), start, plant: order.plant.clone() })?;
+    daemon.listens(at)?;
+    let site = Site { folder, file: daemon.file().to_owned(), control, program, text };
+    let play = Arc::new(Play {
+        at,
+        stop: AtomicBool::new(false),
+        all: Mutex::default(),
+        lost: Mutex::default(),
+        refused: Mutex::default(),
+        recent: Mutex::default(),
+    });
+    let lanes: Vec<_> = (0..LANES)
+        .map(|lane| {
+            let (play, seed) = (play.clone(), random.next_u64());
+            thread::spawn(move || play.lane(lane, seed))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    let kinds = |random: &mut Pcg64Mcg| match random.next_u32() % 6 {
+        0 => Failure::Missing,
+        1 => Failure::NoProgram,
+        2 => Failure::Ends,
+        3 => Failure::BadFile,
+        4 => Failure::Twice,
+        _ => Failure::Killed(u64::from(random.next_u32() % 400)),
+    };
+    // Which of them fail: drawn without looking at how the ones before went.
+    let mut failing: Vec<Option<Failure>> =
+        (0..upgrades).map(|n| (n < fails).then(|| kinds(&mut random))).collect();
+    // At least one is killed after it has had the work.
+    if let Some(last) = failing.get_mut(fails.saturating_sub(1) as usize).filter(|_| fails > 0) {
+        *last = Some(Failure::Killed(500));
+    }
+    for n in (1..failing.len()).rev() {
+        failing.swap(n, random.next_u32() as usize % (n + 1));
+    }
+    let (kills, mut serving, mut processes) = (Mutex::default(), daemon.id(), vec![daemon.id()]);
+    let (mut done, mut memory, mut windows) = (0u32, 0, Vec::new());
+    for (n, failure) in failing.iter().enumerate() {
+        let began = unix_ms();
+        let (after, well) = site.once(serving, *failure, &kills);
+        eprintln!("{began:.0} upgrade {n} {failure:?}: {serving} -> {after}, done: {well}");
+        windows.push((began, unix_ms()));
+        done += u32::from(well);
+        memory = memory
+            .max(processes.iter().chain([&after]).filter(|id| alive(**id)).map(|id| resident(*id)).sum());
+        if !processes.contains(&after) {
+            processes.push(after);
+        }
+        serving = after;
+        if failure.is_none() && !well {
+            eprintln!("an upgrade that should have gone well did not; the log:\n{}", daemon.log().join("\n"));
+            break;
+        }
+        thread::sleep(BETWEEN);
+    }
+    play.stop.store(true, Ordering::Relaxed);
+    for lane in lanes {
+        lane.join().map_err(|_| "a lane of the proof panicked".to_owned())?;
+    }
+    signal(serving, "TERM");
+    let end = Instant::now() + Duration::from_secs(20);
+    while alive(serving) && Instant::now() < end {
+        let _ = daemon.ended();
+        thread::sleep(Duration::from_millis(10));
+    }
+    let left = !alive(serving);
+    thread::sleep(Duration::from_millis(500));
+    let remained = processes.iter().filter(|id| **id != serving && alive(**id)).count();
+    processes.iter().for_each(|id| signal(*id, "KILL"));
+    let kills =
+        kills.lock().map(|kills: std::sync::MutexGuard<'_, Vec<f64>>| kills.clone()).unwrap_or_default();
+    let (mut wrong, counts) = judge(&play, &worker.runs(), &kills);
+    let went_well = failing.iter().filter(|failure| failure.is_none()).count() as u32;
+    if done < went_well {
+        wrong.push(format!("{done} upgrades were done, {went_well} should have been"));
+    }
+    if !left {
+        wrong.push("the last process did not leave".to_owned());
+    }
+    wrong.iter().take(20).for_each(|wrong| eprintln!("{wrong}"));
+    if !wrong.is_empty() {
+        eprintln!("the first process's log:\n{}", daemon.log().join("\n"));
+    }
+    let _ = std::fs::remove_dir_all(&site.folder);
+    let all = play.all.lock().map_err(|_| "a lane panicked")?;
+    let (mut inside, mut outside) = (histogram(), histogram());
+    let mut ends: Vec<f64> = all.iter().map(|asked| asked.answered).collect();
+    ends.sort_by(f64::total_cmp);
+    let gap = ends.windows(2).map(|two| two[1] - two[0]).fold(0.0, f64::max);
+    for asked in all.iter() {
+        let during = windows.iter().any(|(from, to)| asked.answered >= *from && asked.sent <= *to);
+        let to = if during { &mut inside } else { &mut outside };
+        let _ = to.record(((asked.answered - asked.sent) * 1e3).max(1.0) as u64);
+    }
+    let finished = counts.get("answered 200").copied().unwrap_or(0);
+    Ok(json!({
+        "held": wrong.is_empty() && finished as usize > all.len() * 9 / 10 && remained == 0,
+        "sent": all.len(), "counts": counts, "upgrades": upgrades, "done": done, "made_to_fail": fails,
+        "kills": kills.len(), "wrong": wrong.len(), "longest_gap_ms": gap.round(), "processes_remained": remained,
+        "milliseconds_in": quantiles(&inside), "milliseconds_out": quantiles(&outside),
+        "memory_of_all_kib": memory,
+    }))
+}
--- a/crates/asterdale-rig/src/worker.rs
+++ b/crates/asterdale-rig/src/worker.rs
@@ -64,13 +64,14 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(writer) = stream.try_clone() else { return };
-        if let Ok(mut state) = self.shared.0.lock() {
-            state.link = Some(writer);
-        }
+        // Nothing is said on a link before it has said what it knows.
+        let Ok(mut writer) = stream.try_clone().map(Some) else { return };
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             let Ok(line) = serde_json::from_str::<Value>(&line) else { return };
             let Ok(mut state) = self.shared.0.lock() else { return };
+            if line["t"] == "sync" {
+                state.link = writer.take();
+            }
             self.take(&mut state, &line);
         }
     }
