--- a/crates/asterdale-daemon/src/upgrade/mod.rs
+++ b/crates/asterdale-daemon/src/upgrade/mod.rs
@@ -26,6 +26,7 @@
 use asterdale_host::log::Log;
 use asterdale_host::mail::{Client, Mail};
 use asterdale_host::passing::{check_state, Mirror, Step};
+use asterdale_identity::planted::{self, Fault};
 use crossbeam_channel::{bounded, Receiver, Sender};
 
 use port::{from_after, from_before, hello, mirror_frame, Remote, Successor};
@@ -419,6 +420,12 @@
                 let mut descriptors: Vec<BorrowedFd<'_>> =
                     control.listeners.iter().map(AsFd::as_fd).collect();
                 descriptors.push(control.socket.as_fd());
+                if planted::is(Fault::Listener) {
+                    let both = rustix::net::Shutdown::Both;
+                    for listener in &control.listeners {
+                        let _ = rustix::net::shutdown(listener, both);
+                    }
+                }
                 sent(self.line.as_ref().map(|line| line.send_with(offer, &descriptors)))
             }
             giver::Action::Try => match state(Step::Try) {
@@ -437,6 +444,10 @@
                 let line = self.line.clone()?;
                 // It can't be taken back from here on. If it does not arrive, the other has ended.
                 let gone = line.send(What::Go(Go { epoch })).is_err();
+                if planted::is(Fault::Fence) {
+                    let _ = control.host.send(Mail::Handover(Step::Thaw));
+                    return None;
+                }
                 let _ = control.host.send(Mail::Handover(Step::Give(Box::new(Successor(line)))));
                 if let Some(guardian) = &control.guardian {
                     let _ = guardian.send(What::Release(message::Release {}));
--- a/crates/asterdale-host/src/fingerprints.rs
+++ b/crates/asterdale-host/src/fingerprints.rs
@@ -162,11 +162,13 @@
         windows.fold(0.0, f64::max) + self.unread_ms
     }
 
-    /// All that is remembered, and the secret of the signs, for a process that goes on.
+    /// All that is remembered, and the secret of the signs, for a process that goes on; nothing of it where a
+    /// proof plants that fault.
     #[cfg(feature = "handover")]
-    pub fn pass(&self) -> Passed {
+    pub fn pass(&self, none: bool) -> Passed {
         let entry = |(mark, entry): (&Mark, &Entry)| (mark.clone(), entry.clone());
-        Passed { secret: self.secret, entries: self.entries.iter().map(entry).collect() }
+        let entries = self.entries.iter().filter(|_| !none).map(entry).collect();
+        Passed { secret: self.secret, entries }
     }
 
     /// Goes on with what another process remembered.
--- a/crates/asterdale-host/src/passing.rs
+++ b/crates/asterdale-host/src/passing.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale::{Handle, Machine, Server};
+use asterdale_identity::planted::{self, Fault};
 use asterdale_identity::Caller;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use serde::{Deserialize, Serialize};
@@ -212,7 +213,7 @@
             server: self.server.as_ref().map(Server::snapshot),
             serial: tasks.serial,
             tasks: all.collect(),
-            remembered: tasks.fingerprints.pass(),
+            remembered: tasks.fingerprints.pass(planted::is(Fault::Unpassed)),
             identity: tasks.callers.pass(),
             callers: self.callers.clone(),
             link: (tasks.link.last, tasks.link.asked, tasks.link.came),
@@ -273,7 +274,7 @@
         }
         (tasks.link.last, tasks.link.asked, tasks.link.came) = passed.link;
         (tasks.good, tasks.stored) = (passed.good, passed.stored);
-        tasks.mirror = mirror;
+        tasks.mirror = mirror.filter(|_| !planted::is(Fault::Unmirrored));
         tasks.wake_at = passed.now;
         host.callers = passed.callers;
         host.server = server;
--- a/crates/asterdale-identity/src/planted.rs
+++ b/crates/asterdale-identity/src/planted.rs
@@ -9,6 +9,14 @@
     Cache,
     /// A fingerprint's mark does not hold the tenant.
     Mark,
+    /// Fingerprints do not pass to the process that takes over.
+    Unpassed,
+    /// The guardian is not told what its successor starts.
+    Unmirrored,
+    /// The old process goes on serving beside the new one.
+    Fence,
+    /// The listener is closed before the commit.
+    Listener,
 }
 
 #[cfg(feature = "planted")]
@@ -21,6 +29,10 @@
         "overlap" => Fault::Overlap,
         "cache" => Fault::Cache,
         "mark" => Fault::Mark,
+        "unpassed" => Fault::Unpassed,
+        "unmirrored" => Fault::Unmirrored,
+        "fence" => Fault::Fence,
+        "listener" => Fault::Listener,
         _ => return false,
     };
     PLANTED.set(Some(fault)).is_ok()
