--- a/crates/asterdale-host/src/passing.rs
+++ b/crates/asterdale-host/src/passing.rs
@@ -355,7 +355,8 @@
         let _ = self.list.try_send(Word::Quiet(true));
         self.tasks.fronts.aside(true);
         self.tasks.fronts.hush();
-        slog::info!(self.tasks.log.lines, "upgrade: the work is the new process's; this one guards it");
+        slog::info!(self.tasks.log.lines, "upgrade: the work is the new process's; this one guards it";
+            "gist" => ?self.gist());
         self.handle_kept(mailbox);
     }
 
--- a/crates/asterdale-rig/src/flood.rs
+++ b/crates/asterdale-rig/src/flood.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Asks at a rate over so many connections until the end; what was answered with this status, and with others.
-fn drive(
+/// Asks at a rate over so many connections until the end; what was answered with this status, and what not.
+pub fn drive(
     at: SocketAddr,
     token: &str,
     (rate, lanes): (f64, u64),
--- a/crates/asterdale-rig/src/lib.rs
+++ b/crates/asterdale-rig/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod issuer;
 pub mod process;
 pub mod proofs;
+pub mod replace;
 pub mod scripted;
 pub mod services;
 pub mod worker;
--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use asterdale_rig::proofs::{rotation, upgrade, Order};
-use asterdale_rig::{demo, flood};
+use asterdale_rig::{demo, flood, replace};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde_json::json;
 
@@ -46,6 +46,12 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// Measure what replacing a serving process costs, by handing over and by stopping and starting it
+    Replace {
+        /// Tasks a second
+        #[arg(long, default_value_t = 200.0)]
+        rate: f64,
+    },
     /// Measure what a flood of revoked retries costs the others
     Flood {
         /// Revoked retries a second
@@ -92,6 +98,10 @@
                 held
             })
         }
+        Command::Replace { rate } => replace::measure(rate).map(|figures| {
+            println!("{figures:#}");
+            true
+        }),
         Command::Flood { flood, rate, seconds, share } => {
             flood::measure(&flood::Order { flood, rate, seconds, share }).map(|figures| {
                 println!("{figures:#}");
--- a/crates/asterdale-rig/src/proofs/upgrade.rs
+++ b/crates/asterdale-rig/src/proofs/upgrade.rs
@@ -124,7 +124,7 @@
 }
 
 /// Processes that this one has started, and that are there.
-fn children(id: u32) -> Vec<u32> {
+pub fn children(id: u32) -> Vec<u32> {
     let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else { return Vec::new() };
     let lists =
         threads.flatten().filter_map(|thread| std::fs::read_to_string(thread.path().join("children")).ok());
@@ -137,7 +137,8 @@
     stat.rsplit(") ").next().and_then(|rest| rest.chars().next()).is_some_and(|state| !"ZX".contains(state))
 }
 
-fn signal(id: u32, name: &str) {
+/// Sends a signal to a process.
+pub fn signal(id: u32, name: &str) {
     let _ = Command::new("sh").args(["-c", &format!("kill -{name} {id} 2>/dev/null")]).status();
 }
 
--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Its process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn log(&self) -> String {
         self.log.lock().unwrap().clone()
     }
