The fleet in one process: servers, edge nodes, faults and an oracle around the module

Need: designs must be tried at sizes that sockets don't reach.

Change: package asterdale-fleet, a deterministic model with the real module in it: cores that are shared, crowds, reading, six ways to pick, four ways to try again, crashes, slow spells and pauses, five plain policies beside the module, rules checked from outside.

--- /dev/null
+++ b/crates/asterdale-fleet/src/world.rs
@@ -0,0 +1,849 @@
+//! The run: tasks come, edge nodes send tries, servers read, decide and work, faults begin and end.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use asterdale::told::Arrival;
+use hdrhistogram::Histogram;
+
+use crate::chance::Chance;
+use crate::decider::{Action, Actions, Decider, Seat};
+use crate::edge::{Edge, Ring};
+use crate::experiment::{Experiment, Trouble};
+use crate::machine::{Cores, Place};
+use crate::oracle::{Oracle, Told};
+use crate::queue::Queue;
+use crate::result::{quantiles, Outcome, Second};
+use crate::{millis, nanos, Nanos};
+
+/// The gauge of the cores is their use over so long, in nanoseconds: as the platform's.
+const GAUGE: Nanos = 500_000_000;
+/// A crowd that would kill a server has to stay for so long.
+const DEADLY: Nanos = 1_000_000_000;
+/// Nothing more comes so long after the end, in milliseconds, beyond the longest that a client waits.
+const AFTER: f64 = 1000.0;
+
+enum Event {
+    /// The next task comes.
+    Task,
+    /// A try comes to its server.
+    Arrive(u32),
+    /// A run, or a reading, ends; if nothing has changed since.
+    End(u32, u64),
+    /// A server's decider wants to be asked; in this life of it.
+    Beat(u32, u32),
+    /// An edge node hears of a try.
+    Hear(u32, Told, f64),
+    /// A try was waited for long enough.
+    TryOver(u32),
+    /// A client gives up.
+    ClientOver(u32),
+    /// A task is tried again.
+    Again(u32),
+    /// A server hears that nobody waits for a try any more.
+    Left(u32),
+    /// A fault begins, or ends.
+    Fault(u32, bool),
+    /// Edge nodes see that a server is there, or not.
+    Seen(u32, bool),
+    /// A crowd may have stayed too long; in this life of the server.
+    Crowd(u32, u32),
+    /// A second is over.
+    Second,
+}
+
+struct Task {
+    stage: usize,
+    work_ms: f64,
+    subject: u64,
+    edge: usize,
+    born: Nanos,
+    tries: u32,
+    last: Option<usize>,
+    /// Its present try.
+    open: Option<u32>,
+    over: bool,
+    counted: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Where {
+    Way,
+    Reading(Place),
+    Inside(Seat, Option<Place>),
+    Over,
+}
+
+struct Try {
+    task: u32,
+    server: usize,
+    /// The server's life that it came to.
+    life: u32,
+    arrived: Nanos,
+    at: Where,
+    /// The edge node waits for it.
+    waited: bool,
+    /// The server has answered it.
+    answered: bool,
+}
+
+#[derive(Clone)]
+enum Fate {
+    Open(Vec<u32>),
+    Finished,
+    Failed,
+}
+
+struct Machine {
+    cores: Cores,
+    decider: Option<Decider>,
+    actions: Actions,
+    life: u32,
+    paused: bool,
+    /// What came while it was paused.
+    waiting: Vec<u32>,
+    seats: Vec<Option<u32>>,
+    /// Keys, by subject and stage: looked up, never walked.
+    known: HashMap<(usize, u64), (u32, Nanos, Fate)>,
+    gauge: VecDeque<(Nanos, f64)>,
+    crowded: Option<Nanos>,
+    beat_at: Nanos,
+}
+
+/// A run.
+pub struct World<'a> {
+    experiment: &'a Experiment,
+    seed: u64,
+    now: Nanos,
+    end: Nanos,
+    queue: Queue<Event>,
+    tasks: Vec<Task>,
+    /// In the order in which they were sent; none before `oldest` is in a server.
+    tries: Vec<Try>,
+    oldest: usize,
+    servers: Vec<Machine>,
+    seen: Vec<bool>,
+    edges: Vec<Edge>,
+    ring: Ring,
+    coming: Chance,
+    working: Chance,
+    way: Chance,
+    next_subject: u64,
+    oracle: Oracle,
+    counts: BTreeMap<&'static str, u64>,
+    earned: f64,
+    possible: f64,
+    tries_sent: u64,
+    times: Histogram<u64>,
+    sum_ms: f64,
+    /// Tasks in the fleet, times how long, and when that was last counted.
+    inside: (u64, f64, Nanos),
+    spent_ms: f64,
+    second: Second,
+    seconds: Vec<Second>,
+    busy_before: f64,
+    deaths: u64,
+}
+
+/// Plays an experiment with this seed.
+pub fn play(experiment: &Experiment, seed: u64) -> Outcome {
+    let mut world = World::new(experiment, seed);
+    world.run();
+    world.outcome()
+}
+
+impl<'a> World<'a> {
+    fn new(experiment: &'a Experiment, seed: u64) -> World<'a> {
+        let servers = experiment.servers.count;
+        let machine = |_| Machine {
+            cores: Cores::new(experiment.servers.cores, experiment.servers.crowd),
+            decider: None,
+            actions: Actions::default(),
+            life: 0,
+            paused: false,
+            waiting: Vec::new(),
+            seats: Vec::new(),
+            known: HashMap::new(),
+            gauge: VecDeque::new(),
+            crowded: None,
+            beat_at: 0,
+        };
+        let edge = |n| Edge::new(servers, Chance::new(seed, 1000 + n as u64));
+        World {
+            experiment,
+            seed,
+            now: 0,
+            end: nanos(experiment.seconds * 1e3),
+            queue: Queue::default(),
+            tasks: Vec::new(),
+            tries: Vec::new(),
+            oldest: 0,
+            servers: (0..servers).map(machine).collect(),
+            seen: vec![true; servers],
+            edges: (0..experiment.edges.count).map(edge).collect(),
+            ring: Ring::new(servers),
+            coming: Chance::new(seed, 1),
+            working: Chance::new(seed, 2),
+            way: Chance::new(seed, 3),
+            next_subject: 1 << 32,
+            oracle: Oracle::default(),
+            counts: BTreeMap::new(),
+            earned: 0.0,
+            possible: 0.0,
+            tries_sent: 0,
+            times: Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap_or_else(|e| panic!("bounds: {e}")),
+            sum_ms: 0.0,
+            inside: (0, 0.0, 0),
+            spent_ms: 0.0,
+            second: Second::default(),
+            seconds: Vec::new(),
+            busy_before: 0.0,
+            deaths: 0,
+        }
+    }
+
+    fn run(&mut self) {
+        for n in 0..self.servers.len() {
+            self.rise(n, false);
+        }
+        for (n, fault) in self.experiment.faults.iter().enumerate() {
+            self.queue.add(nanos(fault.at_s * 1e3), Event::Fault(n as u32, true));
+            self.queue.add(nanos((fault.at_s + fault.for_s) * 1e3), Event::Fault(n as u32, false));
+        }
+        self.queue.add(nanos(1e3), Event::Second);
+        self.next_task(0);
+        let longest = self.experiment.stages.iter().map(|stage| stage.limit_ms).fold(0.0, f64::max);
+        let last = self.end + nanos(longest + AFTER);
+        while let Some((at, event)) = self.queue.take() {
+            if at > last {
+                break;
+            }
+            self.now = at;
+            self.happen(event);
+        }
+        self.oracle.end(last);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Task => self.task(),
+            Event::Arrive(n) => self.arrive(n),
+            Event::End(server, version) => self.ends(server as usize, version),
+            Event::Beat(server, life) => self.beat(server as usize, life),
+            Event::Hear(n, told, away_ms) => self.hear(n, told, away_ms),
+            Event::TryOver(n) => self.try_over(n),
+            Event::ClientOver(task) => self.client_over(task),
+            Event::Again(task) => self.send(task),
+            Event::Left(n) => self.left(n),
+            Event::Fault(n, begins) => self.fault(n as usize, begins),
+            Event::Seen(server, up) => self.seen[server as usize] = up,
+            Event::Crowd(server, life) => self.crowd(server as usize, life),
+            Event::Second => self.second_over(),
+        }
+    }
+
+    // ---- Tasks and edge nodes ----
+
+    /// The next task comes after a time without a memory: the rate may have changed by then, so the fastest rate is
+    /// drawn for and some are left out.
+    fn next_task(&mut self, from: Nanos) {
+        let most = self.experiment.load.iter().map(|point| point.per_s).fold(0.0, f64::max);
+        let mut at = from;
+        if most <= 0.0 {
+            return;
+        }
+        loop {
+            at += nanos(self.coming.exponential(1e3 / most)).max(1);
+            if at >= self.end {
+                return;
+            }
+            if self.coming.share() * most < self.experiment.rate(millis(at) / 1e3) {
+                return self.queue.add(at, Event::Task);
+            }
+        }
+    }
+
+    fn task(&mut self) {
+        self.next_task(self.now);
+        let all: f64 = self.experiment.stages.iter().map(|stage| stage.share).sum();
+        let mut left = self.working.share() * all;
+        let pick = self.experiment.stages.iter().position(|stage| {
+            left -= stage.share;
+            left < 0.0
+        });
+        let stage = pick.unwrap_or(self.experiment.stages.len() - 1);
+        let facts = &self.experiment.stages[stage];
+        let work_ms = match facts.sigma {
+            Some(sigma) => self.working.lognormal(facts.work_ms, sigma),
+            None => self.working.exponential(facts.work_ms),
+        };
+        let (hot, which) = (self.working.share() < facts.hot, self.working.one_of(facts.subjects.max(1)));
+        let subject = if hot {
+            0
+        } else if facts.subjects > 0 {
+            which as u64
+        } else {
+            self.next_subject += 1;
+            self.next_subject
+        };
+        let edge = self.working.one_of(self.edges.len());
+        let counted = self.now >= nanos(self.experiment.warm_s * 1e3);
+        let (born, last, open, tries, over) = (self.now, None, None, 0, false);
+        let task = Task { stage, work_ms, subject, edge, born, tries, last, open, over, counted };
+        let n = self.tasks.len() as u32;
+        self.tasks.push(task);
+        self.second.came += 1;
+        if counted {
+            self.possible += facts.utility;
+            *self.counts.entry("came").or_default() += 1;
+        }
+        self.count_inside(1);
+        self.queue.add(self.now + nanos(facts.limit_ms), Event::ClientOver(n));
+        self.send(n);
+    }
+
+    fn count_inside(&mut self, change: i64) {
+        let (inside, sum, at) = self.inside;
+        let sum = sum + inside as f64 * millis(self.now - at);
+        self.inside = (inside.saturating_add_signed(change), sum, self.now);
+    }
+
+    fn way_nanos(&mut self) -> Nanos {
+        nanos(self.experiment.edges.way_ms * (0.5 + self.way.share()))
+    }
+
+    fn send(&mut self, n: u32) {
+        let task = &self.tasks[n as usize];
+        if task.over || task.open.is_some() {
+            return;
+        }
+        let (edge, subject, last) = (task.edge, task.subject, task.last);
+        let how = self.experiment.edges.pick;
+        let picked = self.edges[edge].pick(self.now, how, &self.seen, &self.ring, subject, last);
+        let Some(server) = picked else { return self.fail(n, "no server") };
+        let task = &mut self.tasks[n as usize];
+        task.tries += 1;
+        let first = task.tries == 1;
+        let attempt =
+            Try { task: n, server, life: 0, arrived: 0, at: Where::Way, waited: true, answered: false };
+        let open = self.tries.len() as u32;
+        self.tries.push(attempt);
+        let task = &mut self.tasks[n as usize];
+        (task.open, task.last) = (Some(open), Some(server));
+        let limit = task.born + nanos(self.experiment.stages[task.stage].limit_ms);
+        self.edges[edge].sent(server, first);
+        self.tries_sent += 1;
+        self.second.tries += 1;
+        let way = self.way_nanos();
+        self.queue.add(self.now + way, Event::Arrive(open));
+        let patience = self.experiment.edges.try_ms;
+        if patience > 0.0 && self.now + nanos(patience) < limit {
+            self.queue.add(self.now + nanos(patience), Event::TryOver(open));
+        }
+    }
+
+    /// The edge node stops waiting for this try; its server hears so.
+    fn give_up_try(&mut self, n: u32) {
+        let attempt = &mut self.tries[n as usize];
+        if !attempt.waited {
+            return;
+        }
+        attempt.waited = false;
+        let (server, task) = (attempt.server, attempt.task);
+        let edge = self.tasks[task as usize].edge;
+        self.edges[edge].over(server);
+        self.tasks[task as usize].open = None;
+        let way = self.way_nanos();
+        self.queue.add(self.now + way, Event::Left(n));
+    }
+
+    fn try_over(&mut self, n: u32) {
+        let attempt = &self.tries[n as usize];
+        if attempt.waited {
+            let task = attempt.task;
+            self.give_up_try(n);
+            self.again(task, "timed out");
+        }
+    }
+
+    fn again(&mut self, n: u32, why: &'static str) {
+        let (edge, tries) = (self.tasks[n as usize].edge, self.tasks[n as usize].tries);
+        match self.edges[edge].again(&self.experiment.edges, tries) {
+            Some(wait) => self.queue.add(self.now + nanos(wait), Event::Again(n)),
+            None => self.fail(n, why),
+        }
+    }
+
+    fn fail(&mut self, n: u32, why: &'static str) {
+        let task = &mut self.tasks[n as usize];
+        if std::mem::replace(&mut task.over, true) {
+            return;
+        }
+        if task.counted {
+            *self.counts.entry(why).or_default() += 1;
+        }
+        self.second.failed += 1;
+        self.spent_ms += millis(self.now - self.tasks[n as usize].born);
+        self.count_inside(-1);
+    }
+
+    fn client_over(&mut self, n: u32) {
+        if !self.tasks[n as usize].over {
+            if let Some(open) = self.tasks[n as usize].open {
+                self.give_up_try(open);
+            }
+            self.fail(n, "client gave up");
+        }
+    }
+
+    fn hear(&mut self, n: u32, told: Told, away_ms: f64) {
+        let attempt = &self.tries[n as usize];
+        let (task, server, waited) = (attempt.task, attempt.server, attempt.waited);
+        if !waited {
+            return;
+        }
+        self.tries[n as usize].waited = false;
+        let edge = self.tasks[task as usize].edge;
+        self.edges[edge].over(server);
+        if away_ms > 0.0 && self.experiment.edges.heeds {
+            self.edges[edge].leave_alone(server, self.now + nanos(away_ms));
+        }
+        self.tasks[task as usize].open = None;
+        match told {
+            Told::Finished => self.finish(task),
+            Told::Rejected => {
+                self.second.rejected += 1;
+                self.again(task, "rejected");
+            }
+            Told::Abandoned => self.again(task, "abandoned"),
+            Told::Refused | Told::Broken => self.again(task, "broken"),
+        }
+    }
+
+    fn finish(&mut self, n: u32) {
+        let task = &mut self.tasks[n as usize];
+        if std::mem::replace(&mut task.over, true) {
+            return;
+        }
+        let (stage, took) = (&self.experiment.stages[task.stage], self.now - task.born);
+        let in_time = took <= nanos(stage.due_ms);
+        if task.counted {
+            self.earned += stage.utility * if in_time { 1.0 } else { stage.late_share };
+            *self.counts.entry(if in_time { "in time" } else { "late" }).or_default() += 1;
+            let _ = self.times.record((took / 1000).max(1));
+            self.sum_ms += millis(took);
+        }
+        self.spent_ms += millis(took);
+        if in_time {
+            self.second.in_time += 1;
+        } else {
+            self.second.late += 1;
+        }
+        self.count_inside(-1);
+    }
+
+    // ---- Servers ----
+
+    fn key(&self, n: u32) -> Option<(usize, u64)> {
+        let task = &self.tasks[self.tries[n as usize].task as usize];
+        self.experiment.stages[task.stage].fingerprinted.then_some((task.stage, task.subject))
+    }
+
+    fn rise(&mut self, n: usize, again: bool) {
+        let seed = self.seed.wrapping_mul(31).wrapping_add(n as u64);
+        let now = millis(self.now);
+        let machine = &mut self.servers[n];
+        machine.life += 1;
+        machine.decider = Some(Decider::new(self.experiment, seed, now, again, &mut machine.actions));
+        self.act(n, None);
+    }
+
+    /// A server ends: all that it had is gone, and its edge nodes' connections break.
+    fn fall(&mut self, n: usize) {
+        let now = self.now;
+        let machine = &mut self.servers[n];
+        machine.decider = None;
+        machine.actions.all.clear();
+        machine.cores.clear(now);
+        machine.seats.clear();
+        machine.known.clear();
+        (machine.paused, machine.crowded) = (false, None);
+        machine.waiting.clear();
+        let life = machine.life;
+        let over = |attempt: &Try| attempt.at == Where::Over;
+        while self.tries.get(self.oldest).is_some_and(over) {
+            self.oldest += 1;
+        }
+        for open in self.oldest as u32..self.tries.len() as u32 {
+            let attempt = &mut self.tries[open as usize];
+            if attempt.server == n && attempt.life == life && !matches!(attempt.at, Where::Way | Where::Over)
+            {
+                attempt.at = Where::Over;
+                self.oracle.excused(u64::from(open));
+                let way = self.way_nanos();
+                self.queue.add(now + way, Event::Hear(open, Told::Broken, 0.0));
+            }
+        }
+        let late = nanos(self.experiment.edges.late_ms);
+        self.queue.add(now + late, Event::Seen(n as u32, false));
+    }
+
+    fn arrive(&mut self, n: u32) {
+        let server = self.tries[n as usize].server;
+        let machine = &mut self.servers[server];
+        if machine.decider.is_none() {
+            self.tries[n as usize].at = Where::Over;
+            let way = self.way_nanos();
+            return self.queue.add(self.now + way, Event::Hear(n, Told::Refused, 0.0));
+        }
+        if machine.paused {
+            return machine.waiting.push(n);
+        }
+        let attempt = &mut self.tries[n as usize];
+        (attempt.life, attempt.arrived) = (machine.life, self.now);
+        let task = &self.tasks[attempt.task as usize];
+        let by = task.born + nanos(self.experiment.stages[task.stage].limit_ms);
+        if attempt.waited {
+            self.oracle.came(u64::from(n), by);
+        }
+        let place = machine.cores.begin(self.now, u64::from(n) << 1, self.experiment.servers.read_ms);
+        self.tries[n as usize].at = Where::Reading(place);
+        self.foresee(server);
+    }
+
+    fn foresee(&mut self, server: usize) {
+        let machine = &mut self.servers[server];
+        let crowd =
+            machine.cores.running() as f64 > self.experiment.servers.deadly * self.experiment.servers.cores;
+        if crowd && machine.crowded.is_none() {
+            machine.crowded = Some(self.now);
+            self.queue.add(self.now + DEADLY, Event::Crowd(server as u32, machine.life));
+        } else if !crowd {
+            machine.crowded = None;
+        }
+        if !machine.paused {
+            if let Some(at) = machine.cores.next_end() {
+                self.queue.add(at.max(self.now), Event::End(server as u32, machine.cores.version));
+            }
+        }
+    }
+
+    fn crowd(&mut self, n: usize, life: u32) {
+        let machine = &self.servers[n];
+        let stayed = machine.crowded.is_some_and(|since| self.now >= since + DEADLY);
+        if machine.life == life && machine.decider.is_some() && stayed {
+            self.deaths += 1;
+            self.fall(n);
+        }
+    }
+
+    fn ends(&mut self, server: usize, version: u64) {
+        if self.servers[server].cores.version != version || self.servers[server].paused {
+            return;
+        }
+        while let Some(job) = self.servers[server].cores.ended(self.now) {
+            let n = (job >> 1) as u32;
+            if job & 1 == 0 {
+                self.read(server, n);
+            } else {
+                self.run_over(server, n);
+            }
+        }
+        self.foresee(server);
+    }
+
+    /// A task has been read: now it is decided about.
+    fn read(&mut self, server: usize, n: u32) {
+        let (task, arrived) = (self.tries[n as usize].task, self.tries[n as usize].arrived);
+        let task = &self.tasks[task as usize];
+        let stage = &self.experiment.stages[task.stage];
+        let by = task.born + nanos(stage.limit_ms);
+        let key = self.key(n);
+        let now = self.now;
+        let known = key.and_then(|key| self.servers[server].known.get(&key));
+        let arrival = Arrival {
+            stage: task.stage,
+            customer: 0,
+            caller: task.edge,
+            unread_ms: millis(now - arrived),
+            left_ms: Some(millis(by.saturating_sub(now))),
+            hint_ms: Some(stage.work_ms),
+            kb: 1.0,
+            repeat: known.is_some_and(|(_, until, _)| arrived < *until),
+        };
+        let machine = &mut self.servers[server];
+        if let Some(decider) = &mut machine.decider {
+            decider.take(millis(now), arrival, &mut machine.actions);
+        }
+        self.act(server, Some(n));
+        // Nobody may wait for it any more.
+        if !self.tries[n as usize].waited {
+            self.left_inside(n);
+        }
+    }
+
+    fn answer(&mut self, n: u32, told: Told, away_ms: f64) {
+        if std::mem::replace(&mut self.tries[n as usize].answered, true) {
+            return;
+        }
+        self.oracle.answered(self.now, u64::from(n), told);
+        let way = self.way_nanos();
+        self.queue.add(self.now + way, Event::Hear(n, told, away_ms));
+    }
+
+    fn run_over(&mut self, server: usize, n: u32) {
+        self.answer(n, Told::Finished, 0.0);
+        let key = self.key(n);
+        let machine = &mut self.servers[server];
+        let known = key.and_then(|key| machine.known.get_mut(&key)).filter(|(owner, ..)| *owner == n);
+        let waiting = match known {
+            Some((_, _, fate)) => match std::mem::replace(fate, Fate::Finished) {
+                Fate::Open(waiting) => waiting,
+                _ => Vec::new(),
+            },
+            None => Vec::new(),
+        };
+        self.over_inside(server, n, true);
+        for n in waiting {
+            self.answer(n, Told::Finished, 0.0);
+            self.over_inside(server, n, true);
+        }
+    }
+
+    fn over_inside(&mut self, server: usize, n: u32, well: bool) {
+        let Where::Inside(seat, _) = self.tries[n as usize].at else { return };
+        let machine = &mut self.servers[server];
+        if let Some(decider) = &mut machine.decider {
+            decider.over(millis(self.now), seat, well, &mut machine.actions);
+        }
+        self.act(server, None);
+    }
+
+    fn left(&mut self, n: u32) {
+        let attempt = &self.tries[n as usize];
+        match attempt.at {
+            Where::Inside(..) => {
+                self.oracle.excused(u64::from(n));
+                self.left_inside(n);
+            }
+            // One that is being read is looked at when that is over.
+            Where::Reading(_) | Where::Way => self.oracle.excused(u64::from(n)),
+            Where::Over => {}
+        }
+    }
+
+    fn left_inside(&mut self, n: u32) {
+        let Where::Inside(seat, _) = self.tries[n as usize].at else { return };
+        let server = self.tries[n as usize].server;
+        let machine = &mut self.servers[server];
+        if let Some(decider) = &mut machine.decider {
+            decider.left(millis(self.now), seat, &mut machine.actions);
+        }
+        self.act(server, None);
+    }
+
+    fn beat(&mut self, n: usize, life: u32) {
+        let now = self.now;
+        let machine = &mut self.servers[n];
+        if machine.life != life || machine.beat_at > now || machine.decider.is_none() {
+            return;
+        }
+        if machine.paused {
+            return self.queue.add(now + 10_000_000, Event::Beat(n as u32, life));
+        }
+        // What the cores were used for over the last half second.
+        machine.cores.slow(now, machine.cores.speed());
+        machine.gauge.push_back((now, machine.cores.busy));
+        while machine.gauge.len() > 2 && machine.gauge[1].0 + GAUGE <= now {
+            machine.gauge.pop_front();
+        }
+        let (from, busy) = machine.gauge[0];
+        let cpu = match millis(now - from) {
+            0.0 => 0.0,
+            ms => (machine.cores.busy - busy) / (ms * self.experiment.servers.cores),
+        };
+        let on_cores = machine.cores.running() as f64;
+        if let Some(decider) = &mut machine.decider {
+            decider.beat(millis(now), cpu.min(1.0), on_cores, &mut machine.actions);
+        }
+        self.act(n, None);
+        self.foresee(n);
+    }
+
+    /// Does what was decided. `arriving` is the try that has just been taken.
+    fn act(&mut self, server: usize, arriving: Option<u32>) {
+        let now = self.now;
+        while let Some(action) = self.servers[server].actions.all.pop_front() {
+            let at = |world: &World<'_>, seat: Seat| {
+                world.servers[server].seats.get(seat as usize).copied().flatten()
+            };
+            match action {
+                Action::Seat(seat) => {
+                    let Some(n) = arriving else { continue };
+                    let seats = &mut self.servers[server].seats;
+                    seats.resize(seats.len().max(seat as usize + 1), None);
+                    seats[seat as usize] = Some(n);
+                    self.tries[n as usize].at = Where::Inside(seat, None);
+                }
+                Action::Release(seat) => {
+                    let Some(n) = at(self, seat) else { continue };
+                    self.servers[server].seats[seat as usize] = None;
+                    let known = self.key(n).and_then(|key| self.servers[server].known.get_mut(&key));
+                    if let Some((owner, _, fate @ Fate::Open(_))) = known {
+                        if *owner == n {
+                            *fate = Fate::Failed;
+                        }
+                    }
+                    self.tries[n as usize].at = Where::Over;
+                }
+                Action::Run(seat) => {
+                    let Some(n) = at(self, seat) else { continue };
+                    let work = self.tasks[self.tries[n as usize].task as usize].work_ms;
+                    let life = self.servers[server].life;
+                    let key = self.key(n).map(|(stage, subject)| (subject << 6 | stage as u64, server, life));
+                    self.oracle.ran(u64::from(n), key);
+                    let place = self.servers[server].cores.begin(now, u64::from(n) << 1 | 1, work);
+                    self.tries[n as usize].at = Where::Inside(seat, Some(place));
+                    self.foresee(server);
+                }
+                Action::Join(seat) => {
+                    let Some(n) = at(self, seat) else { continue };
+                    let known = self.key(n).and_then(|key| self.servers[server].known.get_mut(&key));
+                    match known.map(|(_, _, fate)| fate) {
+                        Some(Fate::Open(waiting)) => waiting.push(n),
+                        Some(Fate::Finished) => {
+                            self.answer(n, Told::Finished, 0.0);
+                            self.join_over(server, n, true);
+                        }
+                        Some(Fate::Failed) | None => {
+                            self.answer(n, Told::Abandoned, 0.0);
+                            self.join_over(server, n, false);
+                        }
+                    }
+                }
+                Action::Remember(seat, for_ms) => {
+                    let Some(n) = at(self, seat) else { continue };
+                    if let Some(key) = self.key(n) {
+                        let entry = (n, now + nanos(for_ms), Fate::Open(Vec::new()));
+                        self.servers[server].known.insert(key, entry);
+                    }
+                }
+                Action::Forget(seat) => {
+                    let Some(n) = at(self, seat) else { continue };
+                    if let Some(key) = self.key(n) {
+                        let known = &mut self.servers[server].known;
+                        if known.get(&key).is_some_and(|(owner, ..)| *owner == n) {
+                            let waiting = match known.remove(&key) {
+                                Some((_, _, Fate::Open(waiting))) => waiting,
+                                _ => Vec::new(),
+                            };
+                            for n in waiting {
+                                self.answer(n, Told::Abandoned, 0.0);
+                                self.join_over(server, n, false);
+                            }
+                        }
+                    }
+                }
+                Action::Reject(seat, away_ms) => {
+                    if let Some(n) = at(self, seat) {
+                        self.answer(n, Told::Rejected, away_ms);
+                    }
+                }
+                Action::Abandon(seat) => {
+                    if let Some(n) = at(self, seat) {
+                        self.answer(n, Told::Abandoned, 0.0);
+                    }
+                }
+                Action::Wake(at_ms) => {
+                    let at = nanos(at_ms).max(now + 1);
+                    let machine = &mut self.servers[server];
+                    machine.beat_at = at;
+                    self.queue.add(at, Event::Beat(server as u32, machine.life));
+                }
+            }
+        }
+    }
+
+    /// What a task had joined is over. The decider hears of it once what it is doing is done.
+    fn join_over(&mut self, server: usize, n: u32, well: bool) {
+        let Where::Inside(seat, _) = self.tries[n as usize].at else { return };
+        let machine = &mut self.servers[server];
+        if let Some(decider) = &mut machine.decider {
+            decider.over(millis(self.now), seat, well, &mut machine.actions);
+        }
+    }
+
+    // ---- Faults, and the books ----
+
+    fn fault(&mut self, n: usize, begins: bool) {
+        let fault = &self.experiment.faults[n];
+        for server in fault.first..fault.first + fault.servers {
+            match (fault.what, begins) {
+                (Trouble::Crash, true) if self.servers[server].decider.is_some() => self.fall(server),
+                (Trouble::Crash, false) if self.servers[server].decider.is_none() => {
+                    self.rise(server, true);
+                    let late = nanos(self.experiment.edges.late_ms);
+                    self.queue.add(self.now + late, Event::Seen(server as u32, true));
+                }
+                (Trouble::Crash, _) => {}
+                (Trouble::Slow(part), _) => {
+                    let now = self.now;
+                    self.servers[server].cores.slow(now, if begins { part } else { 1.0 });
+                    self.foresee(server);
+                }
+                (Trouble::Pause, _) => {
+                    let now = self.now;
+                    let machine = &mut self.servers[server];
+                    machine.cores.slow(now, if begins { 0.0 } else { 1.0 });
+                    machine.paused = begins;
+                    for n in std::mem::take(&mut machine.waiting) {
+                        self.arrive(n);
+                    }
+                    self.foresee(server);
+                }
+            }
+        }
+    }
+
+    fn second_over(&mut self) {
+        let now = self.now;
+        let up = self.servers.iter().filter(|machine| machine.decider.is_some()).count();
+        let mut busy = 0.0;
+        for machine in &mut self.servers {
+            let speed = machine.cores.speed();
+            machine.cores.slow(now, speed);
+            busy += machine.cores.busy;
+        }
+        for server in 0..self.servers.len() {
+            self.foresee(server);
+        }
+        let limits = self.servers.iter().filter_map(|machine| machine.decider.as_ref().map(Decider::limit));
+        let mut second = std::mem::take(&mut self.second);
+        second.limit = limits.filter(|limit| limit.is_finite()).sum::<f64>() / up.max(1) as f64;
+        second.cpu =
+            (busy - self.busy_before) / (1e3 * self.experiment.servers.cores * self.servers.len() as f64);
+        second.up = up;
+        self.busy_before = busy;
+        self.seconds.push(second);
+        if now < self.end {
+            self.queue.add(now + nanos(1e3), Event::Second);
+        }
+    }
+
+    fn outcome(mut self) -> Outcome {
+        self.count_inside(0);
+        let finished = self.times.len().max(1) as f64;
+        let came: u64 = self.seconds.iter().map(|second| second.came).sum();
+        Outcome {
+            service: if self.possible > 0.0 { self.earned / self.possible } else { 0.0 },
+            tries_each: self.tries_sent as f64 / came.max(1) as f64,
+            milliseconds: quantiles(&self.times),
+            mean_ms: self.sum_ms / finished,
+            little: if self.spent_ms > 0.0 { self.inside.1 / self.spent_ms } else { 1.0 },
+            tasks: self.counts,
+            broken: self.oracle.broken,
+            events: self.queue.came(),
+            deaths: self.deaths,
+            seconds: self.seconds,
+        }
+    }
+}
