Tests: a state is read while it is written; a read that was interrupted goes on

Cause: a test wrote more than a socket holds before it read any, and a stand-in took EINTR for no answer. Change: a thread writes; the read goes on.

--- a/crates/asterdale-daemon/src/upgrade/wire.rs
+++ b/crates/asterdale-daemon/src/upgrade/wire.rs
@@ -228,7 +228,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let offer = asterdale_handover::message::Offer { epoch: 1, listeners: vec![place(&listener)] };
         line.send_with(What::Offer(offer.clone()), &[&listener]).unwrap();
-        line.send_state(&vec![7; 3 * PART], What::State, 4).unwrap();
+        // More than lies in a socket: it is read while it is written.
+        let writer = line.clone();
+        let writing = std::thread::spawn(move || writer.send_state(&vec![7; 3 * PART], What::State, 4));
         assert_eq!(hearing.next().unwrap(), Some(What::Offer(offer)));
         let passed = TcpListener::from(hearing.descriptors.pop().unwrap());
         assert_eq!(place(&passed), place(&listener));
@@ -240,6 +242,7 @@
             }
         }
         assert_eq!(all.len(), 3 * PART);
+        writing.join().unwrap().unwrap();
         line.end();
         assert_eq!(hearing.next().unwrap(), None);
     }
--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -559,6 +559,7 @@
             match self.stream.read(self.incoming.room()) {
                 Ok(0) => return Ok(None),
                 Ok(count) => self.incoming.filled(count),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Ok(None),
                 Err(e) => return Err(e),
             }
