Tests: a process that is left behind holds no output of theirs

Cause: a new process that went on after a failed test kept the standard output it had inherited, and whoever read that waited for it. Change: stand-ins start the daemon without one.

--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -87,6 +87,8 @@
         .env_remove("ROUTER_NAME")
         .env_remove("ROUTER_LISTEN")
         .env("ROUTER_CONFIG", &file)
+        // A process that is left behind must not hold the output of the tests.
+        .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
