The upgrade's proof knows whose the work is; its failures on sockets are all shown

Cause: the proof looked for the new process among the children that the system lists, which is not sure to list them all.

Change: an upgrade's answer and the log name the process that serves; the proof finds its processes by their start file, fails when it loses sight, when fewer were killed than meant, or when the runtime's link goes back and forth (two owners); nothing stays behind. Tests on sockets: a successor that hangs before it speaks, one without descriptors, SIGTERM and SIGHUP in the middle, a guardian that is killed, an upgrade with identity on. The proof and the measurement begin alike.

--- a/crates/asterdale-daemon/src/cli.rs
+++ b/crates/asterdale-daemon/src/cli.rs
@@ -142,7 +142,8 @@
         #[cfg(feature = "upgrade")]
         Some(Command::Upgrade { control, binary }) => {
             let binary = binary.map(|path| path.display().to_string()).unwrap_or_default();
-            crate::upgrade::ask(&control, &binary, |phase| println!("{phase}")).map(|()| println!("done"))
+            crate::upgrade::ask(&control, &binary, |phase| println!("{phase}"))
+                .map(|process| println!("done: process {process} serves"))
         }
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "asterdale", &mut std::io::stdout());
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -252,7 +252,7 @@
         Some(taken) => {
             let (stages, epoch) = (begin.facts.stages.len(), taken.epoch);
             let host = Host::go_on(begin, around, &taken.state, &taken.client(), taken.mirror())?;
-            slog::info!(log.lines, "upgrade: this process goes on"; "epoch" => epoch, "gist" => ?host.gist());
+            slog::info!(log.lines, "upgrade: this process goes on"; "process" => std::process::id(), "epoch" => epoch, "gist" => ?host.gist());
             thread::spawn(move || taken.hear(&mail, stages));
             host
         }
--- a/crates/asterdale-daemon/src/upgrade/mod.rs
+++ b/crates/asterdale-daemon/src/upgrade/mod.rs
@@ -247,9 +247,11 @@
     }
 }
 
-fn outcome(line: &Line, done: Result<(), String>) {
-    let why = done.as_ref().err().cloned().unwrap_or_default();
-    let _ = line.send(What::Outcome(Outcome { done: done.is_ok(), why }));
+/// Tells whoever asked which process serves from now on, or why nothing has changed.
+fn outcome(line: &Line, done: Result<u32, String>) {
+    let process = done.as_ref().copied().unwrap_or(0);
+    let (done, why) = (done.is_ok(), done.err().unwrap_or_default());
+    let _ = line.send(What::Outcome(Outcome { done, why, process }));
 }
 
 impl Shared {
@@ -480,7 +482,7 @@
                 if let Err(why) = &done {
                     slog::error!(control.log.lines, "upgrade: this process carries on"; "why" => why);
                 }
-                outcome(self.asker, done);
+                outcome(self.asker, done.map(|()| self.child.id()));
                 None
             }
         }
@@ -488,8 +490,8 @@
 }
 
 /// Asks the process behind this control socket to hand over, and tells how far it is; for the command line and for
-/// the signal.
-pub fn ask(control: &Path, program: &str, mut told: impl FnMut(&str)) -> Result<(), String> {
+/// the signal. The number of the process that serves from then on.
+pub fn ask(control: &Path, program: &str, mut told: impl FnMut(&str)) -> Result<u32, String> {
     let at = |e: io::Error| format!("{}: {e}", control.display());
     let (line, mut hearing) = open(UnixStream::connect(control).map_err(at)?).map_err(at)?;
     line.send(What::Upgrade(Upgrade { program: program.to_owned() })).map_err(at)?;
@@ -497,7 +499,7 @@
     loop {
         match hearing.next().map_err(at)? {
             Some(What::Phase(phase)) => told(&phase.text),
-            Some(What::Outcome(outcome)) if outcome.done => return Ok(()),
+            Some(What::Outcome(outcome)) if outcome.done => return Ok(outcome.process),
             Some(What::Outcome(outcome)) => {
                 return Err(format!("the old process carries on: {}", outcome.why))
             }
--- a/crates/asterdale-daemon/tests/identity.rs
+++ b/crates/asterdale-daemon/tests/identity.rs
@@ -360,3 +360,41 @@
     open.runtime.end(A, "PASS", b"");
     assert_eq!(edge.status(1), "200");
 }
+
+#[cfg(feature = "upgrade")]
+#[test]
+fn a_process_that_takes_over_knows_the_callers_their_places_and_whose_results_are_whose() {
+    let folder = std::env::temp_dir().join(format!("asterdale-known-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::set_permissions(&folder, std::os::unix::fs::PermissionsExt::from_mode(0o700)).unwrap();
+    let issuer = Issuer::start().unwrap();
+    issuer.publish(1, set(1, json!({"keys": ["k1"]})));
+    let backend = backend(&issuer, |config| config["upgrade"] = json!({"control": folder.join("control")}));
+    backend.runtime.up();
+    backend.counters_until(|count| count("keys_adopted") == 1 && count("links") == 1);
+    let mut edge = backend.connect();
+    let (north, south) = (usual(2, "north"), usual(2, "south"));
+    edge.task(1, "bid", A, &[by(&north), KEY]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.status(1), "200");
+    let clerk = token(2, "north", |claims| claims["roles"] = json!(["clerk"]));
+    edge.task(2, "page", B, &[by(&clerk)]);
+    backend.runtime.command("start");
+    // From here on the issuer says nothing: what the new one knows came with the state.
+    issuer.mood(Mood::Down);
+    backend.signal("-USR2");
+    until("the new process", || backend.log().contains("this process goes on"));
+    let mut edge = backend.connect();
+    assert_eq!(denied(&ask(&mut edge, 1, "bid", C, &[by(&usual(1, "north")), KEY])), ("401", "unknown"));
+    assert_eq!(denied(&ask(&mut edge, 2, "page", C, &[by(&clerk)])), ("429", "over"), "its place is taken");
+    assert_eq!(ask(&mut edge, 3, "bid", C, &[by(&north), KEY]).body, b"sold");
+    edge.task(4, "bid", D, &[by(&south), KEY]);
+    until("the start", || backend.runtime.commanded().is_some_and(|command| command["rid"] == D));
+    backend.runtime.end(D, "PASS", b"other");
+    assert_eq!(edge.answer().unwrap().body, b"other");
+    for process in asterdale_rig::proofs::upgrade::processes(backend.file()) {
+        asterdale_rig::proofs::upgrade::signal(process, "KILL");
+    }
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/asterdale-daemon/tests/upgrade.rs
+++ b/crates/asterdale-daemon/tests/upgrade.rs
@@ -26,6 +26,9 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        for process in asterdale_rig::proofs::upgrade::processes(self.backend.file()) {
+            asterdale_rig::proofs::upgrade::signal(process, "KILL");
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -89,6 +92,15 @@
         (asked, Puppet { stream, incoming: Incoming::default() }, std::fs::read(nonce).unwrap())
     }
 
+    /// The old process serves while it waits for the new one.
+    fn carries_on_meanwhile(&self) {
+        let mut edge = self.backend.connect();
+        edge.task(1, "page", A, &[]);
+        self.backend.runtime.command("start");
+        self.backend.runtime.end(A, "PASS", b"meanwhile");
+        assert_eq!(edge.answer().unwrap().body, b"meanwhile");
+    }
+
     /// The old process carries on as if nothing had happened: a bid is run, and its repeat is not.
     fn carries_on(&self, asked: Child, why: &str) {
         let output = asked.wait_with_output().unwrap();
@@ -257,6 +269,88 @@
     std::fs::remove_dir_all(stale).unwrap();
 }
 
+#[test]
+fn one_that_hangs_before_it_speaks_is_killed_and_the_old_one_carries_on() {
+    let site = Site::new();
+    let asked = site.ask(&site.puppet());
+    site.carries_on_meanwhile();
+    site.carries_on(asked, "too long: Offered");
+}
+
+#[test]
+fn one_that_has_no_descriptors_left_gives_the_work_back_wherever_it_ends() {
+    let site = Site::new();
+    let path = site.folder.join("poor");
+    for descriptors in [4, 6, 9, 12] {
+        let program = asterdale_rig::process::program();
+        let program = std::fs::canonicalize(program).unwrap();
+        let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {} \"$@\"\n", program.display());
+        std::fs::write(&path, text).unwrap();
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
+        // Before the commit or after it: either is a way back.
+        site.ask(&path).wait_with_output().unwrap();
+        // Whoever serves now, it is one process, or one and the one that guards it.
+        until("a process that serves", || {
+            let mut edge = site.backend.connect();
+            edge.try_send(&asterdale_rig::scripted::request(1, "/healthz", &[], b"")).is_ok()
+                && matches!(edge.try_answer(), Ok(Some(answer)) if answer.status() == "200")
+        });
+    }
+    let last = site.ask(&site.folder.join("nowhere"));
+    site.carries_on(last, "nowhere");
+}
+
+#[test]
+fn told_to_leave_in_the_middle_the_old_one_leaves_in_order_and_the_new_one_ends() {
+    let mut site = Site::new();
+    let mut edge = site.backend.connect();
+    edge.task(1, "page", A, &[]);
+    site.backend.runtime.command("start");
+    let (asked, mut puppet, nonce) = site.begin();
+    puppet.hello(&nonce, asterdale_handover::VERSION);
+    assert!(matches!(puppet.hear(), Some(What::Offer(_))));
+    site.backend.signal("-HUP");
+    site.backend.signal("-TERM");
+    until("the notice", || site.backend.log().contains("host: leaving"));
+    site.backend.runtime.end(A, "PASS", b"in time");
+    assert_eq!(edge.answer().unwrap().body, b"in time");
+    assert!(site.backend.ended().0.success());
+    assert_eq!(puppet.hear(), None);
+    drop(asked.wait_with_output());
+}
+
+#[test]
+fn a_guardian_that_is_killed_leaves_the_new_process_serving_alone() {
+    let site = Site::new();
+    let mut edge = site.backend.connect();
+    edge.task(1, "bid", A, &[KEY]);
+    site.backend.runtime.command("start");
+    site.backend.runtime.end(A, "PASS", b"sold");
+    assert_eq!(edge.status(1), "200");
+    site.backend.signal("-USR2");
+    until("the new process", || site.backend.log().contains("this process goes on"));
+    let new = successor(&site.backend.log());
+    site.backend.signal("-KILL");
+    // The first connections may still have been taken by the one that is killed.
+    until("an answer", || {
+        let mut edge = site.backend.connect();
+        edge.try_send(&asterdale_rig::scripted::request(1, "/healthz", &[], b"")).is_ok()
+            && matches!(edge.try_answer(), Ok(Some(answer)) if answer.status() == "200")
+    });
+    let mut edge = site.backend.connect();
+    edge.task(1, "bid", B, &[KEY]);
+    assert_eq!(edge.answer().unwrap().body, b"sold");
+    assert_eq!(site.backend.runtime.commanded(), None);
+    asterdale_rig::proofs::upgrade::signal(new, "KILL");
+}
+
+/// The process that went on, by its own line.
+fn successor(log: &str) -> u32 {
+    let line = log.lines().rfind(|line| line.contains("this process goes on")).unwrap();
+    let number = line.split("process: ").nth(1).unwrap();
+    number.split(',').next().unwrap().trim().parse().unwrap()
+}
+
 /// What a line of the log says of the module, after these words.
 fn gist(log: &str, words: &str) -> String {
     let line = log.lines().find(|line| line.contains(words)).unwrap_or_else(|| panic!("no {words} in {log}"));
@@ -280,7 +374,7 @@
     // By the signal: to the program that runs.
     site.backend.signal("-USR2");
     until("the new process", || site.backend.log().contains("this process goes on"));
-    let new = asterdale_rig::proofs::upgrade::children(site.backend.id())[0];
+    let new = successor(&site.backend.log());
     let log = site.backend.log();
     assert_eq!(gist(&log, "this one guards it"), gist(&log, "this process goes on"));
     // What the old one had started ends for the new one, and is answered over the old one's connection.
--- a/crates/asterdale-rig/src/proofs/upgrade.rs
+++ b/crates/asterdale-rig/src/proofs/upgrade.rs
@@ -7,7 +7,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -123,13 +123,19 @@
     }
 }
 
-/// Processes that this one has started, and that are there.
-pub fn children(id: u32) -> Vec<u32> {
-    let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else { return Vec::new() };
-    let lists =
-        threads.flatten().filter_map(|thread| std::fs::read_to_string(thread.path().join("children")).ok());
-    let all: Vec<String> = lists.collect();
-    all.iter().flat_map(|list| list.split_whitespace()).filter_map(|id| id.parse().ok()).collect()
+/// All processes that were started with this start file: the site's own, whoever their parent is by now.
+pub fn processes(file: &Path) -> Vec<u32> {
+    let Ok(all) = std::fs::read_dir("/proc") else { return Vec::new() };
+    let wanted = format!("ROUTER_CONFIG={}", file.display());
+    let mut found: Vec<u32> = (all.flatten())
+        .filter_map(|one| one.file_name().to_str()?.parse().ok())
+        .filter(|id| {
+            let environment = std::fs::read(format!("/proc/{id}/environ")).unwrap_or_default();
+            environment.split(|byte| *byte == 0).any(|one| one == wanted.as_bytes()) && alive(*id)
+        })
+        .collect();
+    found.sort_unstable();
+    found
 }
 
 fn alive(id: u32) -> bool {
@@ -148,24 +154,36 @@
     line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
 }
 
-/// Asks for an upgrade by the command line; whether it was done.
-fn upgrade(program: &Path, control: &Path, binary: Option<&Path>) -> bool {
+/// Asks for an upgrade by the command line; the process that serves from then on, if it was done.
+pub fn upgrade(program: &Path, control: &Path, binary: Option<&Path>) -> Option<u32> {
     let mut command = Command::new(program);
     command.arg("upgrade").arg("--control").arg(control);
     if let Some(binary) = binary {
         command.arg("--binary").arg(binary);
     }
-    command.output().is_ok_and(|output| output.status.success())
+    let output = command.output().ok().filter(|output| output.status.success())?;
+    let text = String::from_utf8(output.stdout).ok()?;
+    text.lines().find_map(|line| line.strip_prefix("done: process ")?.strip_suffix(" serves")?.parse().ok())
 }
 
-struct Site {
+/// A folder with a control socket, and the processes that serve one after the other.
+pub struct Site {
     folder: PathBuf,
     file: PathBuf,
-    control: PathBuf,
+    /// The control socket.
+    pub control: PathBuf,
     program: PathBuf,
     text: String,
 }
 
+impl Drop for Site {
+    /// However the proof ended, nothing that it started stays behind.
+    fn drop(&mut self) {
+        processes(&self.file).into_iter().for_each(|id| signal(id, "KILL"));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl Site {
     fn path(&self, name: &str, text: &str, mode: u32) -> PathBuf {
         let path = self.folder.join(name);
@@ -175,8 +193,7 @@
     }
 
     /// One upgrade of the process that serves; which serves after it, and whether it was done.
-    fn once(&self, serving: u32, failure: Option<Failure>, kills: &Mutex<Vec<f64>>) -> (u32, bool) {
-        let before = children(serving);
+    fn once(&self, serving: u32, failure: Option<Failure>, kills: &Mutex<Vec<f64>>) -> (u32, u32) {
         let binary = match failure {
             Some(Failure::Missing) => Some(self.folder.join("nowhere")),
             Some(Failure::NoProgram) => Some(self.path("text", "no program", 0o644)),
@@ -188,11 +205,11 @@
         }
         let killer = match failure {
             Some(Failure::Killed(after)) => {
-                let known = before.clone();
+                let (file, known) = (self.file.clone(), processes(&self.file));
                 Some(thread::spawn(move || {
                     let end = Instant::now() + Duration::from_secs(5);
                     while Instant::now() < end {
-                        if let Some(new) = children(serving).into_iter().find(|id| !known.contains(id)) {
+                        if let Some(new) = processes(&file).into_iter().find(|id| !known.contains(id)) {
                             thread::sleep(Duration::from_millis(after));
                             signal(new, "KILL");
                             return Some(unix_ms());
@@ -206,12 +223,13 @@
         };
         let second = (failure == Some(Failure::Twice)).then(|| {
             let (program, control) = (self.program.clone(), self.control.clone());
-            thread::spawn(move || upgrade(&program, &control, None))
+            thread::spawn(move || upgrade(&program, &control, None).map(|id| (Instant::now(), id)))
         });
-        let mut done = upgrade(&self.program, &self.control, binary.as_deref());
+        let mut told =
+            vec![upgrade(&self.program, &self.control, binary.as_deref()).map(|id| (Instant::now(), id))];
         if let Some(second) = second {
             // One of the two is turned away, unless they followed each other.
-            done |= second.join().unwrap_or(false);
+            told.push(second.join().ok().flatten());
         }
         if let Some(killer) = killer {
             if let Ok(Some(at)) = killer.join() {
@@ -221,12 +239,10 @@
             }
         }
         let _ = std::fs::write(&self.file, &self.text);
-        // Two upgrades may have followed each other: the last one's process serves.
-        let mut last = serving;
-        while let Some(new) = children(last).into_iter().find(|id| alive(*id)) {
-            last = new;
-        }
-        (last, done)
+        let done = told.iter().flatten().count() as u32;
+        // The last that was told and is there; if it was killed, the one before has the work again.
+        let after = told.into_iter().flatten().filter(|(_, id)| alive(*id)).max();
+        (after.map_or(serving, |(_, id)| id), done)
     }
 }
 
@@ -269,16 +285,19 @@
     (wrong, counts)
 }
 
-/// Runs the proof, with so many upgrades, of which so many are made to fail. How long it takes follows from that.
-pub fn prove(order: &Order, upgrades: u32, fails: u32) -> Result<Value, String> {
+/// A daemon that can hand over, on a site of its own; where it listens, and how it was started.
+pub fn begin(
+    worker: &Worker,
+    records: SocketAddr,
+    registry: SocketAddr,
+    plant: Option<String>,
+) -> Result<(Site, SocketAddr, Recipe, Daemon), String> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let told = |e: std::io::Error| e.to_string();
-    let mut random = Pcg64Mcg::seed_from_u64(order.seed);
-    let program = if order.plant.is_some() { planted_program()? } else { program() };
+    let program = if plant.is_some() { planted_program()? } else { program() };
     let program = std::fs::canonicalize(&program).unwrap_or(program);
-    let worker = Worker::start(8, (5, 40)).map_err(told)?;
-    let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
-    let folder =
-        std::env::temp_dir().join(format!("asterdale-upgrade-{}-{}", std::process::id(), order.seed));
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("asterdale-upgrade-{}-{n}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(told)?;
     std::fs::set_permissions(&folder, std::fs::Permissions::from_mode(0o700)).map_err(told)?;
     let control = folder.join("control");
@@ -287,9 +306,20 @@
     start["upgrade"] = json!({"control": control});
     let at = start["listen"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
     let text = start.to_string();
-    let mut daemon = Daemon::start(&Recipe { program: program.clone(), start, plant: order.plant.clone() })?;
-    daemon.listens(at)?;
+    let recipe = Recipe { program: program.clone(), start, plant };
+    let daemon = Daemon::start(&recipe)?;
     let site = Site { folder, file: daemon.file().to_owned(), control, program, text };
+    daemon.listens(at)?;
+    Ok((site, at, recipe, daemon))
+}
+
+/// Runs the proof, with so many upgrades, of which so many are made to fail. How long it takes follows from that.
+pub fn prove(order: &Order, upgrades: u32, fails: u32) -> Result<Value, String> {
+    let told = |e: std::io::Error| e.to_string();
+    let mut random = Pcg64Mcg::seed_from_u64(order.seed);
+    let worker = Worker::start(8, (5, 40)).map_err(told)?;
+    let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
+    let (site, at, _, mut daemon) = begin(&worker, records, registry, order.plant.clone())?;
     let play = Arc::new(Play {
         at,
         stop: AtomicBool::new(false),
@@ -323,24 +353,24 @@
     for n in (1..failing.len()).rev() {
         failing.swap(n, random.next_u32() as usize % (n + 1));
     }
-    let (kills, mut serving, mut processes) = (Mutex::default(), daemon.id(), vec![daemon.id()]);
-    let (mut done, mut memory, mut windows) = (0u32, 0, Vec::new());
+    let (kills, mut serving) = (Mutex::default(), daemon.id());
+    let (mut done, mut memory, mut windows, mut lost_sight) = (0, 0, Vec::new(), Vec::new());
     for (n, failure) in failing.iter().enumerate() {
         let began = unix_ms();
         let (after, well) = site.once(serving, *failure, &kills);
         eprintln!("{began:.0} upgrade {n} {failure:?}: {serving} -> {after}, done: {well}");
         windows.push((began, unix_ms()));
-        done += u32::from(well);
-        memory = memory
-            .max(processes.iter().chain([&after]).filter(|id| alive(**id)).map(|id| resident(*id)).sum());
-        if !processes.contains(&after) {
-            processes.push(after);
+        done += well;
+        memory = memory.max(processes(&site.file).into_iter().map(resident).sum());
+        // Whose the work is must be known at every step: a proof that lost sight of it shows nothing.
+        if failure.is_none() && (well != 1 || after == serving || !alive(after)) {
+            lost_sight.push(format!("upgrade {n} should have gone well, and {after} serves after {serving}"));
         }
-        serving = after;
-        if failure.is_none() && !well {
-            eprintln!("an upgrade that should have gone well did not; the log:\n{}", daemon.log().join("\n"));
+        if !alive(after) {
+            lost_sight.push(format!("after upgrade {n} {after} should serve, and is not there"));
             break;
         }
+        serving = after;
         thread::sleep(BETWEEN);
     }
     play.stop.store(true, Ordering::Relaxed);
@@ -355,14 +385,19 @@
     }
     let left = !alive(serving);
     thread::sleep(Duration::from_millis(500));
-    let remained = processes.iter().filter(|id| **id != serving && alive(**id)).count();
-    processes.iter().for_each(|id| signal(*id, "KILL"));
+    let remained = processes(&site.file).len();
     let kills =
         kills.lock().map(|kills: std::sync::MutexGuard<'_, Vec<f64>>| kills.clone()).unwrap_or_default();
     let (mut wrong, counts) = judge(&play, &worker.runs(), &kills);
-    let went_well = failing.iter().filter(|failure| failure.is_none()).count() as u32;
-    if done < went_well {
-        wrong.push(format!("{done} upgrades were done, {went_well} should have been"));
+    wrong.append(&mut lost_sight);
+    // An upgrade makes a link, and a way back another. Two that serve take it from each other for ever.
+    let links = worker.links();
+    if links > 1 + 2 * upgrades {
+        wrong.push(format!("the link was made {links} times in {upgrades} upgrades: two processes serve"));
+    }
+    let meant = failing.iter().filter(|failure| matches!(failure, Some(Failure::Killed(_)))).count();
+    if kills.len() != meant {
+        wrong.push(format!("{} processes were killed, {meant} should have been", kills.len()));
     }
     if !left {
         wrong.push("the last process did not leave".to_owned());
@@ -371,7 +406,6 @@
     if !wrong.is_empty() {
         eprintln!("the first process's log:\n{}", daemon.log().join("\n"));
     }
-    let _ = std::fs::remove_dir_all(&site.folder);
     let all = play.all.lock().map_err(|_| "a lane panicked")?;
     let (mut inside, mut outside) = (histogram(), histogram());
     let mut ends: Vec<f64> = all.iter().map(|asked| asked.answered).collect();
--- a/crates/asterdale-rig/src/replace.rs
+++ b/crates/asterdale-rig/src/replace.rs
@@ -1,18 +1,16 @@
 //! A measurement: a serving process is replaced while tasks come at a steady rate, by handing over and by stopping
 //! and starting it, side by side. For the docs, not for CI.
 
-use std::os::unix::fs::PermissionsExt;
-use std::process::Command;
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{json, Value};
 
 use crate::flood::drive;
-use crate::process::{program, Daemon, Recipe};
-use crate::proofs::upgrade::{children, signal};
+use crate::process::{program, Daemon};
+use crate::proofs::upgrade::{begin, signal, upgrade};
+use crate::services;
 use crate::worker::Worker;
-use crate::{scripted, services};
 
 /// Seconds of load before it is replaced, and after.
 const BEFORE: u64 = 3;
@@ -23,26 +21,15 @@
     let told = |e: std::io::Error| e.to_string();
     let worker = Worker::start(8, (20, 40)).map_err(told)?;
     let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
-    let folder = std::env::temp_dir().join(format!("asterdale-replace-{}-{handed}", std::process::id()));
-    std::fs::create_dir_all(&folder).map_err(told)?;
-    std::fs::set_permissions(&folder, std::fs::Permissions::from_mode(0o700)).map_err(told)?;
-    let control = folder.join("control");
-    let mut start = scripted::config(scripted::address(), worker.at, records, registry);
-    start["settings"]["extra"]["cores"] = json!(8);
-    start["upgrade"] = json!({"control": control});
-    let at = start["listen"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
-    let recipe = Recipe { program: program(), start, plant: None };
-    let mut daemon = Daemon::start(&recipe)?;
-    daemon.listens(at)?;
+    let (site, at, recipe, mut daemon) = begin(&worker, records, registry, None)?;
     let load = thread::spawn(move || drive(at, "", (rate, 64), "200", BEFORE + AFTER));
     thread::sleep(Duration::from_secs(BEFORE));
     let mut after = None;
     if handed {
-        let asked = Command::new(program()).arg("upgrade").arg("--control").arg(&control).output();
-        if !asked.map_err(told)?.status.success() {
+        after = upgrade(&program(), &site.control, None);
+        if after.is_none() {
             return Err(format!("the upgrade failed:\n{}", daemon.log().join("\n")));
         }
-        after = children(daemon.id()).first().copied();
     } else {
         daemon.leave(Duration::from_secs(10));
         daemon = Daemon::start(&recipe)?;
@@ -52,7 +39,7 @@
         signal(after, "TERM");
     }
     daemon.leave(Duration::from_secs(10));
-    let _ = std::fs::remove_dir_all(folder);
+    drop(site);
     Ok(json!({"handed_over": handed, "finished": finished, "not": not, "milliseconds": times}))
 }
 
--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Its start file, which its successors read, too.
+    pub fn file(&self) -> &std::path::Path {
+        &self.file
+    }
+
     /// Its process's number.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/asterdale-rig/src/worker.rs
+++ b/crates/asterdale-rig/src/worker.rs
@@ -23,6 +23,7 @@
     due: BinaryHeap<Due>,
     running: HashMap<String, Instant>,
     runs: HashMap<String, u32>,
+    links: u32,
 }
 
 /// The worker.
@@ -62,6 +63,11 @@
         self.shared.0.lock().map(|state| state.runs.clone()).unwrap_or_default()
     }
 
+    /// How often a link was made: one takes the place of the one before.
+    pub fn links(&self) -> u32 {
+        self.shared.0.lock().map_or(0, |state| state.links)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         // Nothing is said on a link before it has said what it knows.
@@ -71,6 +77,7 @@
             let Ok(mut state) = self.shared.0.lock() else { return };
             if line["t"] == "sync" {
                 state.link = writer.take();
+                state.links += 1;
             }
             self.take(&mut state, &line);
         }
