--- a/crates/asterdale-daemon/tests/identity.rs
+++ b/crates/asterdale-daemon/tests/identity.rs
@@ -85,6 +85,14 @@
     edge.answer().expect("the connection ended")
 }
 
+/// A page that this caller asks for is run, and its result comes back.
+fn page_is_served(backend: &Backend, edge: &mut Edge, number: u16, id: &str, token: &str) {
+    edge.task(number, "page", id, &[by(token)]);
+    assert_eq!(backend.runtime.command("start")["rid"], id);
+    backend.runtime.end(id, "PASS", b"");
+    assert_eq!(edge.status(number), "200");
+}
+
 fn by(token: &str) -> (&str, &str) {
     ("HTTP_AUTHORIZATION", token)
 }
@@ -155,10 +163,7 @@
     assert_eq!(denied(&ask(&mut edge, 5, "page", B, &[by(&clerk)])), ("429", "over"));
     backend.runtime.end(A, "PASS", b"");
     assert_eq!(edge.status(4), "200");
-    edge.task(6, "page", B, &[by(&clerk)]);
-    backend.runtime.command("start");
-    backend.runtime.end(B, "PASS", b"");
-    assert_eq!(edge.status(6), "200");
+    page_is_served(&backend, &mut edge, 6, B, &clerk);
     let answer = ask(&mut edge, 7, "page", C, &[by(&clerk)]);
     assert_eq!(denied(&answer), ("429", "over"));
     assert!(answer.head.contains("Retry-After-Ms: "), "{}", answer.head);
@@ -293,10 +298,7 @@
         });
         let number = 10 * n as u16 + 1;
         assert_eq!(denied(&ask(&mut edge, number, "bid", B, &[by(&bob), KEY])), ("401", "unknown"));
-        edge.task(number + 1, "page", A, &[by(&good)]);
-        backend.runtime.command("start");
-        backend.runtime.end(A, "PASS", b"");
-        assert_eq!(edge.status(number + 1), "200");
+        page_is_served(&backend, &mut edge, number + 1, A, &good);
     }
 }
 
@@ -305,10 +307,7 @@
     let (issuer, mut backend) = serving();
     let mut edge = backend.connect();
     let good = usual(2, "north");
-    edge.task(1, "page", A, &[by(&good)]);
-    backend.runtime.command("start");
-    backend.runtime.end(A, "PASS", b"");
-    assert_eq!(edge.status(1), "200");
+    page_is_served(&backend, &mut edge, 1, A, &good);
     let without = backend.changed(|config| config["identity"]["tenants"][0]["roles"] = json!(["clerk"]));
     backend.reload(&without);
     backend.counters_until(|count| count("reloads") == 1);
@@ -330,10 +329,7 @@
     backend.counters_until(|count| count("links") == 1);
     let mut edge = backend.connect();
     let good = usual(2, "north");
-    edge.task(1, "page", A, &[by(&good)]);
-    backend.runtime.command("start");
-    backend.runtime.end(A, "PASS", b"");
-    assert_eq!(edge.status(1), "200");
+    page_is_served(&backend, &mut edge, 1, A, &good);
     std::fs::write(&file, set(2, json!({"keys": ["k2"]}))).unwrap();
     let same = backend.changed(|_| ());
     backend.reload(&same);
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -712,7 +712,10 @@
             if well && tasks.log.may(&REPLIES) {
                 slog::info!(tasks.log.lines, "records: replies again");
             } else if !well && tasks.log.may(&RECORDS) {
-                slog::warn!(tasks.log.lines, "records: a call broke"; "how" => ?outcome);
+                let about = tasks.by_serial.get(&who).copied().and_then(|task| tasks.about(task));
+                let about = about.unwrap_or_default();
+                slog::warn!(tasks.log.lines, "records: a call broke"; "how" => ?outcome, "id" => about.id,
+                    "stage" => about.stage, "tenant" => about.tenant);
             }
         }
         let Some(task) = tasks.by_serial.get(&who).copied() else { return }; // its task is over
--- a/crates/asterdale-identity/src/tests.rs
+++ b/crates/asterdale-identity/src/tests.rs
@@ -354,3 +354,20 @@
     after.leave(seat);
     assert_eq!((after.rights().open(caller.tenant), after.replace(&(9, text("clerk")))), (0, None));
 }
+
+#[test]
+fn an_endless_retry_of_what_is_revoked_allocates_nothing_and_checks_no_signature() {
+    let mut identity = identity();
+    let gone = set(2, |set| {
+        set.revoked.tokens.insert(text("1"));
+    });
+    identity.offer(NOW, gone.as_bytes()).unwrap();
+    let token = token(2, |_| ());
+    assert_eq!(ask(&mut identity, NOW, &token), Err(Why::TokenRevoked));
+    let measured = allocation_counter::measure(|| {
+        for _ in 0..100 {
+            assert_eq!(ask(&mut identity, NOW, &token), Err(Why::TokenRevoked));
+        }
+    });
+    assert_eq!((measured.count_total, identity.cost().0), (0, 0));
+}
