Connections and calls are served by a fixed number of threads over a poller

So spawns are refused (edge.rs begin: the connection was dropped with what it had brought; records.rs call; peer.rs one_of_its_own), and it is not the decisions.

Change: the edge is one thread for the listener, all connections and what ends the quiet ones, over mio's poller; what a peer does not take at once is written by it too; calls below are one thread. Each connection's state has one owner, and a look reads once before the others have their turn. The codec and all bounds stay. A refused descriptor leaves the connection in the machine's queue, or ends the call as one that never ran, with a line and a counter.

All tests of the daemon and engine pass.

--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -29,8 +29,7 @@
 use asterdale_host::issuer::{self, Nudge};
 use asterdale_host::log::{Kind, Log};
 use asterdale_host::mail::{Fronts, Mail};
-use asterdale_host::records::Records;
-use asterdale_host::{registry, runtime, Around, Host};
+use asterdale_host::{records, registry, runtime, Around, Host};
 use asterdale_identity::Identity;
 use crossbeam_channel::{bounded, unbounded, Sender};
 #[cfg(feature = "upgrade")]
@@ -196,17 +195,19 @@
     let began = Instant::now();
     let edge = |door: &Door| {
         let (mail, out) = (mail.clone(), out.clone());
-        Arc::new(Edge::new(&start, door.clone(), mail, out, counters.clone(), log.clone(), began))
+        let edge = Edge::new(&start, door.clone(), mail, out, counters.clone(), log.clone(), began);
+        edge.map_err(|e| format!("edge: {e}"))
     };
-    let edges: Vec<Arc<Edge>> = doors.iter().map(edge).collect();
+    let (edges, loops): (Vec<_>, Vec<_>) =
+        doors.iter().map(edge).collect::<Result<Vec<_>, _>>()?.into_iter().unzip();
     let mut listeners = Vec::new();
-    for (edge, door) in edges.iter().zip(&doors) {
+    for door in &doors {
         #[cfg(feature = "upgrade")]
         if let Some(listener) = taken.as_mut().and_then(|taken| taken.listener(door.listen)) {
             listeners.push(listener);
             continue;
         }
-        listeners.push(edge.bind().map_err(|e| format!("listen: {}: {e}", door.listen))?);
+        listeners.push(edge::bind(door.listen).map_err(|e| format!("listen: {}: {e}", door.listen))?);
     }
     #[cfg(feature = "upgrade")]
     let guardian = control(&start, taken.as_ref(), &listeners, &mail, log)?;
@@ -227,14 +228,15 @@
     let (counted, lines, name, at) =
         (counters.clone(), log.clone(), start.name.clone(), start.peers.registry);
     spawn("registry", move || registry::report(at, &name, &for_list, &counted, &lines))?;
-    let writer = edges[0].writer(answers);
+    let writer = edges[0].writer(answers, counters.clone());
     spawn("writer", move || writer.serve())?;
-    for (edge, listener) in edges.iter().zip(listeners) {
-        let (keeping, listening) = (edge.clone(), edge.clone());
-        spawn("keeper", move || keeping.keep())?;
-        spawn("listener", move || listening.accept(&listener))?;
+    for (serving, listener) in loops.into_iter().zip(listeners) {
+        // Without it nobody is heard any more: the program ends, as with any panic.
+        spawn("edge", move || serving.serve(listener).unwrap_or_else(|e| panic!("edge: {e}")))?;
     }
-    let records = Records::new(start.peers.records, mail.clone(), counters.clone());
+    let (records, caller) = records::new(start.peers.records, mail.clone(), counters.clone(), log.clone())
+        .map_err(|e| format!("records: {e}"))?;
+    spawn("calls", move || caller.serve())?;
     let around = Around {
         records,
         fronts: Arc::new(Doors(edges)),
--- a/crates/asterdale-daemon/src/tls.rs
+++ b/crates/asterdale-daemon/src/tls.rs
@@ -1,9 +1,9 @@
 //! TLS for edge nodes that show a certificate: for installations of that kind, never on the platform.
 //!
-//! A session's state is one for both directions, and sockets block. So the state has a lock that is held for
-//! what is computed alone, never while anybody waits for the socket: the reader waits for bytes without it, and
-//! then takes it to decrypt; the writer takes it to encrypt, and writes without it. What is encrypted and not
-//! written yet lies in order behind a second lock, which whoever writes holds until it is written.
+//! A session's state is one for both directions. So it has a lock that is held for what is computed alone, never
+//! during a system call: the edge's thread reads without it, and then takes it to decrypt; the writer takes it to
+//! encrypt, and writes without it. What is encrypted and not written yet lies in order behind a second lock, which
+//! whoever writes holds meanwhile; nobody waits for the socket.
 
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
@@ -108,7 +108,7 @@
     state: Mutex<ServerConnection>,
     /// Encrypted, and not written.
     out: Mutex<Vec<u8>>,
-    /// The reader's own.
+    /// The edge's thread's own.
     chunk: Mutex<Vec<u8>>,
     certificate: OnceLock<Option<Arc<Certificate>>>,
 }
@@ -133,9 +133,14 @@
                 return Ok(0);
             }
             let taken = self.take(&chunk[..count]);
-            // An alert that says why goes out whatever was wrong.
+            // An alert that says why goes out whatever was wrong. What the socket does not take now goes out when
+            // it does.
             let flushed = self.flush();
-            taken.and(flushed)?;
+            taken?;
+            match flushed {
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return Err(e),
+                _ => {}
+            }
         }
     }
 
--- a/crates/asterdale-daemon/src/wire.rs
+++ b/crates/asterdale-daemon/src/wire.rs
@@ -1,10 +1,10 @@
-//! What a connection's bytes go over: a plain socket, or TLS on one. A reader's thread reads, the writer's writes,
-//! each as if it were alone.
+//! What a connection's bytes go over: a plain socket, or TLS on one. The edge's thread reads, the writer's writes, each
+//! as if it were alone; neither waits.
 
 use std::io::{self, IoSlice, Read};
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::{AsRawFd, RawFd};
 use std::sync::Arc;
-use std::time::Duration;
 
 use asterdale_host::gather;
 use asterdale_host::mail::Certificate;
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Reads what there is, or waits for it; 0 at the end.
+    /// Reads what there is; 0 at the end, and `WouldBlock` where nothing has come.
     pub fn read(&self, into: &mut [u8]) -> io::Result<usize> {
         match self {
             Wire::Plain(stream) => (&mut &*stream).read(into),
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Writes all of the pieces. An error comes with how many of their bytes need not be written again: with
+    /// Writes all of the pieces, as far as the socket takes them now. An error comes with how many of their bytes need not be written again: with
     /// TLS all, as they lie encrypted already and go out with the next write, an empty one if need be.
     pub fn write(&self, pieces: &mut [IoSlice<'_>]) -> Result<(), (usize, io::Error)> {
         match self {
@@ -72,13 +72,25 @@
         let _ = self.socket().shutdown(how);
     }
 
-    /// How long a read waits.
-    pub fn read_within(&self, time: Duration) -> io::Result<()> {
-        self.socket().set_read_timeout(Some(time))
+    /// Writes what lies encrypted, where anything does, as far as the socket takes it now. `false` if it broke.
+    pub fn flush(&self) -> bool {
+        match self {
+            Wire::Plain(_) => true,
+            #[cfg(feature = "tls")]
+            Wire::Tls(_) => match self.write(&mut []) {
+                Err((_, e)) => e.kind() == io::ErrorKind::WouldBlock,
+                Ok(()) => true,
+            },
+        }
+    }
+
+    /// Bytes go as they are.
+    pub fn is_plain(&self) -> bool {
+        matches!(self, Wire::Plain(_))
     }
 
-    /// How long a write waits.
-    pub fn write_within(&self, time: Duration) -> io::Result<()> {
-        self.socket().set_write_timeout(Some(time))
+    /// The socket's descriptor.
+    pub fn fd(&self) -> RawFd {
+        self.socket().as_raw_fd()
     }
 }
--- a/crates/asterdale-host/src/counters.rs
+++ b/crates/asterdale-host/src/counters.rs
@@ -105,6 +105,8 @@
     calls_passed,
     /// Those that ended otherwise.
     calls_failed,
+    /// Those that this process had no descriptor or port for: they never ran.
+    calls_unmade,
     /// Calls left out.
     calls_skipped,
     /// Health checks answered.
@@ -133,6 +135,12 @@
     connections_broken,
     /// Times that accepting paused for want of descriptors.
     accept_pauses,
+    /// Times that the system refused a descriptor for a connection, which then waited.
+    accepts_refused,
+    /// Connections whose way back was full, so that answers waited.
+    connections_slow,
+    /// Times that the system refused a thread.
+    threads_refused,
     /// Links made to the runtime.
     links,
     /// Times that the start file was read again.
--- a/crates/asterdale-host/src/http.rs
+++ b/crates/asterdale-host/src/http.rs
@@ -26,14 +26,28 @@
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
+/// The bytes of one reply, as they come.
+#[derive(Default)]
+pub struct Collector {
+    got: Vec<u8>,
+}
+
+impl Collector {
+    /// Takes these; the reply, once it is whole. What comes after it is nobody's.
+    pub fn take(&mut self, bytes: &[u8]) -> io::Result<Option<Reply>> {
+        self.got.extend_from_slice(bytes);
+        match parse(&self.got)? {
+            None if self.got.len() > 2 * MOST => Err(bad("a reply too long")),
+            reply => Ok(reply),
+        }
+    }
+}
+
 /// Reads one reply, until `end` at the latest. What comes after it is nobody's.
 pub fn reply(mut stream: &TcpStream, end: Instant) -> io::Result<Reply> {
-    let mut got = Vec::with_capacity(1024);
+    let mut got = Collector::default();
     let mut chunk = [0; 4096];
     loop {
-        if let Some(reply) = parse(&got)? {
-            return Ok(reply);
-        }
         let left = end.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(io::ErrorKind::TimedOut.into());
@@ -41,14 +55,15 @@
         stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
         match stream.read(&mut chunk) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(n) => got.extend_from_slice(&chunk[..n]),
+            Ok(n) => {
+                if let Some(reply) = got.take(&chunk[..n])? {
+                    return Ok(reply);
+                }
+            }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Err(io::ErrorKind::TimedOut.into()),
             Err(e) => return Err(e),
         }
-        if got.len() > 2 * MOST {
-            return Err(bad("a reply too long"));
-        }
     }
 }
 
--- a/crates/asterdale-host/src/lib.rs
+++ b/crates/asterdale-host/src/lib.rs
@@ -2,7 +2,7 @@
 //! runtime, the records service and the registry. Fronts bring tasks as [`mail::Mail`] and take answers as
 //! [`mail::Reply`]; which protocol they speak is theirs alone.
 //!
-//! Floors, from below: `mail` and what all share (`counters`, `log`, `gather`, `http`); the links (`runtime`,
+//! Floors, from below: `mail` and what all share (`counters`, `log`, `gather`, `http`, `post`); the links (`runtime`,
 //! `records`, `registry`, `issuer`), the table of `fingerprints` and the gate of `callers`; `tasks`; `host`. None
 //! names one above it.
 
@@ -17,6 +17,7 @@
 pub mod mail;
 #[cfg(feature = "handover")]
 pub mod passing;
+pub mod post;
 pub mod records;
 pub mod registry;
 pub mod runtime;
--- a/crates/asterdale-host/src/records.rs
+++ b/crates/asterdale-host/src/records.rs
@@ -1,42 +1,77 @@
-//! The records service's actors: each makes one call at a time, on a connection of its own. One that is idle
-//! takes the next call; where none is, one more begins.
+//! The records service's actor: one thread makes all calls, each on a connection of its own, none of which it
+//! waits for alone.
 
-use std::io::{self, IoSlice};
-use std::net::{SocketAddr, TcpStream};
+use std::collections::{BTreeSet, HashMap};
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 use asterdale::told::Outcome;
-use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
+use crossbeam_channel::Sender;
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token};
 
 use crate::counters::Counters;
-use crate::gather;
-use crate::http::{self, Reply};
+use crate::http::{Collector, Reply};
+use crate::log::{Kind, Log};
 use crate::mail::{text, Call, Mail};
+use crate::post::{self, Letters, Post};
 
-/// An actor that has had no call for so long ends.
-const IDLE: Duration = Duration::from_secs(5);
 /// No call waits longer, whatever patience is given.
 const LONGEST: Duration = Duration::from_secs(60);
+/// The mailbox's; calls have the numbers below it.
+const LETTERS: Token = Token(usize::MAX);
+/// Events that one look takes; there are seldom more calls out.
+const EVENTS: usize = 64;
 
 /// The way to the records service.
 pub struct Records {
     at: SocketAddr,
-    calls: Sender<(SocketAddr, Call)>,
-    waiting: Receiver<(SocketAddr, Call)>,
+    calls: Post<(SocketAddr, Call)>,
+    counters: Arc<Counters>,
+}
+
+/// The actor.
+pub struct Caller {
+    poll: Poll,
+    letters: Letters<(SocketAddr, Call)>,
     host: Sender<Mail>,
     counters: Arc<Counters>,
+    log: Log,
+    open: HashMap<usize, Open>,
+    /// When each is given up.
+    ends: BTreeSet<(Instant, usize)>,
+    next: usize,
 }
 
-impl Records {
-    /// Nothing is connected before the first call.
-    pub fn new(at: SocketAddr, host: Sender<Mail>, counters: Arc<Counters>) -> Records {
-        // No place in it: a call is handed over only to an actor that waits for one.
-        let (calls, waiting) = bounded(0);
-        Records { at, calls, waiting, host, counters }
-    }
+/// A call that is out.
+struct Open {
+    call: Call,
+    stream: TcpStream,
+    /// The connection is made.
+    made: bool,
+    /// What is not written of it.
+    out: Vec<u8>,
+    reply: Collector,
+    end: Instant,
+}
 
+/// The way to the records service, and its actor. Nothing is connected before the first call.
+pub fn new(
+    at: SocketAddr,
+    host: Sender<Mail>,
+    counters: Arc<Counters>,
+    log: Log,
+) -> io::Result<(Records, Caller)> {
+    let poll = Poll::new()?;
+    let (calls, letters) = post::open(&poll, LETTERS)?;
+    let records = Records { at, calls, counters: counters.clone() };
+    let (open, ends) = (HashMap::new(), BTreeSet::new());
+    Ok((records, Caller { poll, letters, host, counters, log, open, ends, next: 0 }))
+}
+
+impl Records {
     /// The service listens here from now on. Calls that are out end where they are.
     pub fn go_to(&mut self, at: SocketAddr) {
         self.at = at;
@@ -46,56 +81,139 @@
     pub fn call(&self, mut call: Call) -> bool {
         call.patience = call.patience.min(LONGEST);
         self.counters.calls_sent.add();
-        let call = match self.calls.try_send((self.at, call)) {
-            Ok(()) => return true,
-            Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) => call,
-        };
-        let (waiting, host) = (self.waiting.clone(), self.host.clone());
-        let actor = thread::Builder::new().name("call".to_owned()).stack_size(64 * 1024);
-        actor.spawn(move || serve(call, &waiting, &host)).is_ok()
+        self.calls.send((self.at, call))
     }
 }
 
-fn serve(first: (SocketAddr, Call), waiting: &Receiver<(SocketAddr, Call)>, host: &Sender<Mail>) {
-    let mut next = Some(first);
-    while let Some((at, call)) = next {
-        let (outcome, body) = make(at, &call);
-        let took_ms = call.asked.elapsed().as_secs_f64() * 1000.0;
-        if host.send(Mail::Called { who: call.who, outcome, took_ms, body }).is_err() {
-            return;
+impl Caller {
+    /// Makes calls until the host is gone.
+    pub fn serve(mut self) {
+        let mut events = Events::with_capacity(EVENTS);
+        loop {
+            let first = self.ends.first().map(|&(end, _)| end.saturating_duration_since(Instant::now()));
+            // Interrupted, it looks again; nothing else can go wrong with a poll that was made.
+            let _ = self.poll.poll(&mut events, first);
+            let letters: Vec<_> = self.letters.take().collect();
+            let mut well = letters.into_iter().all(|(at, call)| self.begin(at, call));
+            for event in &events {
+                well &= self.go_on(event.token().0);
+            }
+            let now = Instant::now();
+            while let Some(&(_, call)) = self.ends.first().filter(|&&(end, _)| end <= now) {
+                well &= self.over(call, Outcome::Timeout, Vec::new());
+            }
+            if !well {
+                return;
+            }
         }
-        next = waiting.recv_timeout(IDLE).ok();
+    }
+
+    /// Connects. A connection carries one call: on one that is kept, what comes late (a second copy, noise) could
+    /// be read as the reply to the next; and one that the service has forgotten breaks at its next call just as
+    /// one whose call has run. `false` if the host is gone.
+    fn begin(&mut self, at: SocketAddr, call: Call) -> bool {
+        static UNMADE: Kind = Kind::new();
+        let number = self.next;
+        // Numbers come again after a lifetime of calls, and never the mailbox's.
+        self.next = (self.next + 1) % LETTERS.0;
+        let made = TcpStream::connect(at).and_then(|mut stream| {
+            let _ = stream.set_nodelay(true);
+            let either = Interest::READABLE | Interest::WRITABLE;
+            self.poll.registry().register(&mut stream, Token(number), either).map(|()| stream)
+        });
+        match made {
+            Ok(stream) => {
+                let end = call.asked + call.patience;
+                let wait_ms = end.saturating_duration_since(Instant::now()).as_millis().max(1);
+                let mut out = format!(
+                    "POST /records/op HTTP/1.1\r\nHost: {at}\r\nOp-Of: {}\r\nOp-Wait-Ms: {wait_ms}\r\n\
+                     Content-Length: {}\r\n\r\n",
+                    text(&call.id),
+                    call.body.len()
+                )
+                .into_bytes();
+                out.extend_from_slice(&call.body);
+                self.ends.insert((end, number));
+                let reply = Collector::default();
+                self.open.insert(number, Open { call, stream, made: false, out, reply, end });
+                true
+            }
+            Err(e) => {
+                let outcome = broken(&e);
+                if outcome == Outcome::Unreachable && e.kind() != io::ErrorKind::ConnectionRefused {
+                    self.counters.calls_unmade.add();
+                    if self.log.may(&UNMADE) {
+                        slog::error!(self.log.lines, "records: a call can't be made"; "why" => %e,
+                            "id" => text(&call.id), "open" => self.open.len());
+                    }
+                }
+                self.tell(&call, outcome, Vec::new())
+            }
+        }
+    }
+
+    /// Something can be read or written for this call. `false` if the host is gone.
+    fn go_on(&mut self, number: usize) -> bool {
+        let Some(open) = self.open.get_mut(&number) else { return true };
+        match open.go_on() {
+            Ok(None) => true,
+            Ok(Some(reply)) => self.over(number, outcome(&reply), reply.body),
+            Err(e) => {
+                let outcome = if open.made { broken_off(&e) } else { broken(&e) };
+                self.over(number, outcome, Vec::new())
+            }
+        }
+    }
+
+    /// The one place where a call's connection is given back; dropping it gives the call up.
+    fn over(&mut self, number: usize, outcome: Outcome, body: Vec<u8>) -> bool {
+        let Some(open) = self.open.remove(&number) else { return true };
+        self.ends.remove(&(open.end, number));
+        self.tell(&open.call, outcome, body)
+    }
+
+    fn tell(&self, call: &Call, outcome: Outcome, body: Vec<u8>) -> bool {
+        let took_ms = call.asked.elapsed().as_secs_f64() * 1000.0;
+        self.host.send(Mail::Called { who: call.who, outcome, took_ms, body }).is_ok()
     }
 }
 
-/// Makes a call, on a connection of its own. On one that is kept, what comes late (a second copy, noise) could
-/// be read as the reply to the next call; and one that the service has forgotten breaks at its next call just
-/// as one whose call has run.
-fn make(at: SocketAddr, call: &Call) -> (Outcome, Vec<u8>) {
-    let end = call.asked + call.patience;
-    let left = || end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    let stream = match TcpStream::connect_timeout(&at, left()) {
-        Ok(stream) => stream,
-        Err(e) => return (broken(&e), Vec::new()),
-    };
-    let head = format!(
-        "POST /records/op HTTP/1.1\r\nHost: {at}\r\nOp-Of: {}\r\nOp-Wait-Ms: {}\r\nContent-Length: {}\r\n\r\n",
-        text(&call.id),
-        left().as_millis(),
-        call.body.len()
-    );
-    let reply = stream
-        .set_nodelay(true)
-        .and_then(|()| stream.set_write_timeout(Some(left())))
-        .and_then(|()| {
-            gather::write(&stream, &mut [IoSlice::new(head.as_bytes()), IoSlice::new(&call.body)])
-                .map_err(|(_, e)| e)
-        })
-        .and_then(|()| http::reply(&stream, end));
-    match reply {
-        Ok(reply) => (outcome(&reply), reply.body),
-        // Dropping the connection gives the call up.
-        Err(e) => (broken_off(&e), Vec::new()),
+impl Open {
+    /// Goes on as far as it can without waiting; the reply, once it is whole.
+    fn go_on(&mut self) -> io::Result<Option<Reply>> {
+        if !self.made {
+            if let Some(e) = self.stream.take_error()? {
+                return Err(e);
+            }
+            match self.stream.peer_addr() {
+                Ok(_) => self.made = true,
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
+        while !self.out.is_empty() {
+            match self.stream.write(&self.out) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => drop(self.out.drain(..n)),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
+        let mut chunk = [0; 4096];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => {
+                    if let Some(reply) = self.reply.take(&chunk[..n])? {
+                        return Ok(Some(reply));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
     }
 }
 
@@ -110,14 +228,24 @@
     }
 }
 
-/// What a connection that was not made proves: only a refused one that nothing ran.
+/// What a connection that was not made proves: that nothing ran only where it was refused, or where this process
+/// had nothing left to make it with.
 fn broken(e: &io::Error) -> Outcome {
     match e.kind() {
         io::ErrorKind::ConnectionRefused => Outcome::Unreachable,
+        _ if short(e) => Outcome::Unreachable,
         _ => broken_off(e),
     }
 }
 
+/// The system refused a descriptor (EMFILE, ENFILE), a port (EADDRNOTAVAIL) or memory for one (ENOBUFS).
+fn short(e: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    e.kind() == io::ErrorKind::AddrNotAvailable || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+}
+
 /// What a connection that broke during a call proves: nothing.
 fn broken_off(e: &io::Error) -> Outcome {
     match e.kind() {
