--- a/crates/asterdale-daemon/src/edge/serve.rs
+++ b/crates/asterdale-daemon/src/edge/serve.rs
@@ -249,7 +249,8 @@
             if self.all.len() >= self.shared.most_connections {
                 ear.not_before = now + PAUSE;
                 self.shared.counters.accept_pauses.add();
-                self.make_room(self.around.most_quiet / 2);
+                let most = self.around.most_quiet / 2;
+                self.make_room(|_| most);
                 return;
             }
             if self.accept_one().is_none_or(|end| end) {
@@ -291,7 +292,7 @@
                     slog::error!(self.shared.log.lines, "edge: accepting pauses"; "why" => %e,
                         "open" => self.all.len());
                 }
-                self.make_room(self.around.most_quiet / 2);
+                self.make_room(|quiet| quiet / 2);
                 Some(true)
             }
         }
@@ -411,16 +412,16 @@
         }
     }
 
-    /// Gives up the connections that serve least until no more than so many are quiet, with nothing open: first
-    /// of all those that have never brought a request, then the longest quiet. What crosses the close comes
-    /// again on another.
-    fn make_room(&mut self, quiet: usize) {
+    /// Gives up the connections that serve least until no more than `keep` of those that are quiet stay, with
+    /// nothing open: first of all those that have never brought a request, then the longest quiet. What crosses the
+    /// close comes again on another.
+    fn make_room(&mut self, keep: impl Fn(usize) -> usize) {
         let now = self.shared.clock();
         // The first request of a connection that has just come may be under way.
         let counts = |c: &Connection| !c.ending() && !c.busy() && now >= c.born + COMING;
         let ranked = self.all.iter().filter(|(_, c)| counts(c));
         let mut ranked: Vec<_> = ranked.map(|(&number, c)| (c.asked, c.last(), number)).collect();
-        let over = ranked.len().saturating_sub(quiet);
+        let over = ranked.len().saturating_sub(keep(ranked.len()));
         if over > 0 {
             ranked.sort_unstable();
         }
@@ -473,6 +474,7 @@
             }
             self.broke(number);
         }
-        self.make_room(self.around.most_quiet);
+        let most = self.around.most_quiet;
+        self.make_room(|_| most);
     }
 }
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -151,8 +151,10 @@
             #[cfg(feature = "upgrade")]
             SIGUSR2 => {
                 // How it goes is told by the log; it takes longer than a signal may be left waiting.
-                if let Some(control) = again.control.clone() {
-                    drop(thread::spawn(move || upgrade::ask(&control, "", |_| ())));
+                let Some(control) = again.control.clone() else { continue };
+                if let Err(why) = spawn("upgrade", move || drop(upgrade::ask(&control, "", |_| ()))) {
+                    counters.threads_refused.add();
+                    slog::error!(log.lines, "upgrade: not begun"; "why" => why);
                 }
                 continue;
             }
@@ -255,7 +257,7 @@
             let (stages, epoch) = (begin.facts.stages.len(), taken.epoch);
             let host = Host::go_on(begin, around, &taken.state, &taken.client(), taken.mirror())?;
             slog::info!(log.lines, "upgrade: this process goes on"; "process" => std::process::id(), "epoch" => epoch, "gist" => ?host.gist());
-            thread::spawn(move || taken.hear(&mail, stages));
+            spawn("hearing", move || taken.hear(&mail, stages))?;
             host
         }
     };
--- a/crates/asterdale-daemon/src/upgrade/mod.rs
+++ b/crates/asterdale-daemon/src/upgrade/mod.rs
@@ -251,7 +251,12 @@
             match shared.control.socket.accept() {
                 Ok((stream, _)) => {
                     let shared = shared.clone();
-                    thread::spawn(move || shared.greet(stream));
+                    let greeter = thread::Builder::new().name("greeter".to_owned());
+                    // Where the system gives no thread, whoever asked sees the connection end.
+                    let log = shared.control.log.clone();
+                    if let Err(e) = greeter.spawn(move || shared.greet(stream)) {
+                        slog::error!(log.lines, "upgrade: a connection ends"; "why" => %e);
+                    }
                 }
                 Err(_) => thread::sleep(LOOK),
             }
--- /dev/null
+++ b/crates/asterdale-daemon/tests/crowd.rs
@@ -0,0 +1,85 @@
+//! Hundreds of connections, and a system that gives the process no more threads or descriptors.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use asterdale_rig::crowd::{Crowd, Order};
+use asterdale_rig::process::Daemon;
+use asterdale_rig::soak::{daemon, MOST_THREADS};
+use asterdale_rig::worker::Worker;
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
+
+const CONNECTIONS: usize = 600;
+
+fn order(at: std::net::SocketAddr, connections: usize, seed: u32) -> Order {
+    Order {
+        at,
+        connections,
+        edges: 150,
+        rate: 400.0,
+        lasts: Duration::from_secs(3),
+        once: false,
+        stages: vec!["page", "bid"],
+        timeout_ms: 20_000,
+        seed,
+    }
+}
+
+fn hold(daemon: &Daemon, resource: Resource, most: u64) {
+    let process = Pid::from_raw(daemon.id() as i32);
+    prlimit(process, resource, Rlimit { current: Some(most), maximum: Some(most) }).unwrap();
+}
+
+fn size_kib(daemon: &Daemon) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmSize:")).unwrap();
+    line.split_whitespace().next().unwrap().parse().unwrap()
+}
+
+/// Every request has its one answer, and nothing ran twice.
+fn all_well(crowd: &Crowd, runs: &HashMap<String, u32>) {
+    let seen = &crowd.seen;
+    assert_eq!((seen.lost, seen.twice, seen.refused), (0, 0, 0), "{:?}", seen.answered);
+    assert_eq!(seen.all_answers(), seen.sent);
+    assert!(seen.with("200") > 0);
+    assert!(runs.values().all(|&runs| runs == 1));
+}
+
+#[test]
+fn hundreds_of_connections_need_no_thread_and_every_request_gets_its_one_answer() {
+    let worker = Worker::start(4, (1, 4)).unwrap();
+    let (daemon, at) = daemon(&worker, 16 * 1024).unwrap();
+    // The process may grow by what 600 connections' buffers take, and by no more than some twenty threads' stacks
+    // beside: as a limit of threads that holds for this process alone.
+    hold(&daemon, Resource::As, (size_kib(&daemon) + 12 * 1024) * 1024);
+    let mut crowd = Crowd::new(order(at, CONNECTIONS, 1)).unwrap();
+    let mut most = 0;
+    crowd.play(Duration::from_millis(100), |_| {
+        most = most.max(daemon.holds().0);
+        true
+    });
+    assert!((1..=MOST_THREADS).contains(&most), "{most} threads");
+    assert_eq!(crowd.open(), CONNECTIONS, "{}", daemon.log().join("\n"));
+    all_well(&crowd, &worker.runs());
+}
+
+#[test]
+fn a_refused_descriptor_lets_connections_wait_and_costs_no_request() {
+    let worker = Worker::start(4, (1, 4)).unwrap();
+    let (daemon, at) = daemon(&worker, 16 * 1024).unwrap();
+    // Room for twenty connections beside what the process has open; forty come.
+    let open = daemon.holds().1 as u64;
+    hold(&daemon, Resource::Nofile, open + 20);
+    let mut crowd = Crowd::new(order(at, 40, 2)).unwrap();
+    crowd.play(Duration::from_secs(1), |_| true);
+    let refused = daemon.counter("accepts_refused").unwrap();
+    assert!(refused > 0, "{}", daemon.log().join("\n"));
+    assert!(daemon.log().iter().any(|line| line.contains("edge: accepting pauses")));
+    // Those that waited were taken as quiet ones gave way: nothing was lost on either.
+    all_well(&crowd, &worker.runs());
+    // Where there are enough again, none gives way.
+    drop(crowd);
+    let mut after = Crowd::new(order(at, 10, 3)).unwrap();
+    after.play(Duration::from_secs(1), |_| true);
+    all_well(&after, &worker.runs());
+}
--- a/crates/asterdale-host/src/runtime.rs
+++ b/crates/asterdale-host/src/runtime.rs
@@ -106,6 +106,7 @@
     static LINKED: Kind = Kind::new();
     static BROKEN: Kind = Kind::new();
     let (mut told, mut quiet) = (false, false);
+    let writer = writer(counters, log);
     loop {
         for course in moves.try_iter() {
             match course {
@@ -129,7 +130,7 @@
                 }
                 told = false;
                 let began = Instant::now();
-                let Some(why) = serve(&Arc::new(stream), host, counters) else { return };
+                let Some(why) = serve(&Arc::new(stream), &writer, host, counters) else { return };
                 (why, began.elapsed() >= YOUNG)
             }
             Err(e) => (e, false),
@@ -149,26 +150,52 @@
     }
 }
 
+/// A link's way out: its socket, its commands, and where to say that it is over.
+type Out = (Arc<TcpStream>, Receiver<String>, Sender<()>);
+
+/// The writer of all links, one after the other. It is there before the first, so that no link can want for a
+/// thread; until the system gives one there is no link.
+fn writer(counters: &Counters, log: &Log) -> Sender<Out> {
+    static REFUSED: Kind = Kind::new();
+    loop {
+        let (links, for_writer) = bounded::<Out>(1);
+        let writer = thread::Builder::new().name("runtime out".to_owned()).stack_size(64 * 1024);
+        let spawned = writer.spawn(move || {
+            for (stream, commands, over) in for_writer {
+                write(&stream, &commands);
+                drop(over);
+            }
+        });
+        match spawned {
+            Ok(_) => return links,
+            Err(e) => {
+                counters.threads_refused.add();
+                if log.may(&REFUSED) {
+                    slog::error!(log.lines, "runtime: no thread for the link"; "why" => %e);
+                }
+                thread::sleep(AGAIN);
+            }
+        }
+    }
+}
+
 /// One link, until it breaks; `None` when the host is gone.
-fn serve(stream: &Arc<TcpStream>, host: &Sender<Mail>, counters: &Counters) -> Option<io::Error> {
+fn serve(
+    stream: &Arc<TcpStream>,
+    writer: &Sender<Out>,
+    host: &Sender<Mail>,
+    counters: &Counters,
+) -> Option<io::Error> {
     let (commands, for_writer) = bounded(WAITING);
+    let (over, ended) = bounded(0);
     let _ = stream.set_nodelay(true);
     host.send(Mail::Linked(commands)).ok()?;
-    let out = stream.clone();
-    let writer = thread::Builder::new()
-        .name("runtime out".to_owned())
-        .stack_size(64 * 1024)
-        .spawn(move || write(&out, &for_writer));
-    let why = match &writer {
-        Ok(_) => lines(stream, host, counters)?,
-        Err(e) => io::Error::new(e.kind(), "no thread for the link"),
-    };
+    writer.send((stream.clone(), for_writer, over)).ok()?;
+    let why = lines(stream, host, counters)?;
     let _ = stream.shutdown(Shutdown::Both);
-    // The host drops its end of the commands, and the writer ends.
+    // The host drops its end of the commands, and the writer is done with this link.
     host.send(Mail::Unlinked).ok()?;
-    if let Ok(writer) = writer {
-        let _ = writer.join();
-    }
+    let _ = ended.recv();
     Some(why)
 }
 
--- /dev/null
+++ b/crates/asterdale-rig/src/crowd.rs
@@ -0,0 +1,298 @@
+//! A crowd of edge nodes' connections, hundreds or thousands, driven by one thread: a steady rate of requests over
+//! connections that stay, or each on one of its own that asks once and stays. It counts what became of each request
+//! by what came over the wire alone.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
+
+use asterdale_fastcgi::{kind, Incoming};
+use hdrhistogram::Histogram;
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Token};
+
+use crate::proofs::histogram;
+use crate::{scripted, unix_ms};
+
+/// A request that crosses a close within so long is sent once more, on a new connection.
+const CROSSES: Duration = Duration::from_millis(50);
+
+/// How a crowd behaves.
+#[derive(Clone)]
+pub struct Order {
+    /// Where the backend listens.
+    pub at: SocketAddr,
+    /// Connections that are held open.
+    pub connections: usize,
+    /// Of so many edge nodes.
+    pub edges: usize,
+    /// Requests a second in all.
+    pub rate: f64,
+    /// For so long.
+    pub lasts: Duration,
+    /// Each request comes on a connection of its own, which stays open until the backend ends it.
+    pub once: bool,
+    /// What requests ask for, in turn.
+    pub stages: Vec<&'static str>,
+    /// How long an edge node waits, in milliseconds.
+    pub timeout_ms: u64,
+    /// No two crowds may have the same.
+    pub seed: u32,
+}
+
+/// What became of it all.
+pub struct Seen {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers by their status.
+    pub answered: BTreeMap<String, u64>,
+    /// Requests whose connection ended without a whole answer, or that had none within their time and a second.
+    pub lost: u64,
+    /// Answers to what was not open.
+    pub twice: u64,
+    /// Connections that were refused or not made.
+    pub refused: u64,
+    /// Connections that the backend ended.
+    pub ended: u64,
+    /// From a request to its answer with status 200.
+    pub times: Histogram<u64>,
+}
+
+impl Seen {
+    /// Answers with this status.
+    pub fn with(&self, status: &str) -> u64 {
+        self.answered.get(status).copied().unwrap_or(0)
+    }
+
+    /// All answers.
+    pub fn all_answers(&self) -> u64 {
+        self.answered.values().sum()
+    }
+}
+
+/// A request that waits for its answer.
+struct Asked {
+    bytes: Vec<u8>,
+    sent: Instant,
+    again: bool,
+}
+
+struct Line {
+    stream: TcpStream,
+    incoming: Incoming,
+    stdout: HashMap<u16, Vec<u8>>,
+    open: HashMap<u16, Asked>,
+    next: u16,
+}
+
+/// The crowd while it plays.
+pub struct Crowd {
+    order: Order,
+    poll: Poll,
+    lines: HashMap<usize, Line>,
+    made: usize,
+    turn: usize,
+    /// What became of it so far.
+    pub seen: Seen,
+}
+
+impl Crowd {
+    /// Nothing is connected yet.
+    pub fn new(order: Order) -> io::Result<Crowd> {
+        let seen = Seen {
+            sent: 0,
+            answered: BTreeMap::new(),
+            lost: 0,
+            twice: 0,
+            refused: 0,
+            ended: 0,
+            times: histogram(),
+        };
+        Ok(Crowd { order, poll: Poll::new()?, lines: HashMap::new(), made: 0, turn: 0, seen })
+    }
+
+    /// Opens a connection; its number.
+    fn connect(&mut self) -> Option<usize> {
+        let stream = TcpStream::connect_timeout(&self.order.at, Duration::from_secs(10));
+        let made = stream.and_then(|stream| {
+            stream.set_nodelay(true)?;
+            stream.set_nonblocking(true)?;
+            let fd = stream.as_raw_fd();
+            let token = Token(self.made);
+            self.poll.registry().register(&mut SourceFd(&fd), token, Interest::READABLE)?;
+            Ok(stream)
+        });
+        let Ok(stream) = made else {
+            self.seen.refused += 1;
+            return None;
+        };
+        let line = Line {
+            stream,
+            incoming: Incoming::default(),
+            stdout: HashMap::new(),
+            open: HashMap::new(),
+            next: 0,
+        };
+        self.lines.insert(self.made, line);
+        self.made += 1;
+        Some(self.made - 1)
+    }
+
+    /// Opens connections until so many are there, or none more can be had.
+    pub fn fill(&mut self, connections: usize) {
+        while self.lines.len() < connections && self.connect().is_some() {}
+    }
+
+    /// How many are open.
+    pub fn open(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Sends the next request.
+    fn ask(&mut self) {
+        if self.order.once {
+            let Some(number) = self.connect() else { return };
+            return self.ask_on(number);
+        }
+        self.fill(self.order.connections);
+        // In the order of their numbers, each in its turn.
+        let mut numbers: Vec<usize> = self.lines.keys().copied().collect();
+        if numbers.is_empty() {
+            return;
+        }
+        numbers.sort_unstable();
+        self.turn += 1;
+        self.ask_on(numbers[self.turn % numbers.len()]);
+    }
+
+    fn ask_on(&mut self, number: usize) {
+        let n = self.seen.sent;
+        self.seen.sent += 1;
+        let id = format!("{:08x}{:08x}", self.order.seed, n as u32);
+        let mark = format!("{:016x}{n:016x}", self.order.seed);
+        let (start, caller) = ((unix_ms() as u64).to_string(), (number % self.order.edges).to_string());
+        let timeout = self.order.timeout_ms.to_string();
+        let stage = self.order.stages[n as usize % self.order.stages.len()];
+        let other = [
+            ("HTTP_X_CALLER", caller.as_str()),
+            ("HTTP_X_TIMEOUT_MS", &timeout),
+            ("HTTP_X_COST_MS", "4"),
+            ("HTTP_X_MEMORY_KB", "8"),
+            ("HTTP_IDEMPOTENCY_KEY", &mark),
+        ];
+        let fields = scripted::fields(&id, &start, &other);
+        let Some(line) = self.lines.get_mut(&number) else { return };
+        line.next = line.next % 30_000 + 1;
+        let bytes = scripted::request(line.next, &format!("/v1/{stage}"), &fields, b"ask");
+        self.send(number, bytes, false);
+    }
+
+    fn send(&mut self, number: usize, bytes: Vec<u8>, again: bool) {
+        let Some(line) = self.lines.get_mut(&number) else { return };
+        let request = line.next;
+        // A request is far smaller than any way out; where it does not fit nobody reads.
+        let sent = line.stream.write_all(&bytes);
+        line.open.insert(request, Asked { bytes, sent: Instant::now(), again });
+        if sent.is_err() {
+            self.over(number);
+        }
+    }
+
+    /// A connection ended: what was open on it is sent once more where it crossed the end, or is lost.
+    fn over(&mut self, number: usize) {
+        let Some(line) = self.lines.remove(&number) else { return };
+        let _ = self.poll.registry().deregister(&mut SourceFd(&line.stream.as_raw_fd()));
+        drop(line.stream);
+        self.seen.ended += 1;
+        for (request, asked) in line.open {
+            let crossed = asked.sent.elapsed() < CROSSES && !asked.again;
+            match crossed.then(|| self.connect()).flatten() {
+                Some(number) => {
+                    if let Some(line) = self.lines.get_mut(&number) {
+                        line.next = request;
+                    }
+                    self.send(number, asked.bytes, true);
+                }
+                None => self.seen.lost += 1,
+            }
+        }
+    }
+
+    /// Reads what has come over this connection.
+    fn read(&mut self, number: usize) {
+        loop {
+            let Some(line) = self.lines.get_mut(&number) else { return };
+            match line.stream.read(line.incoming.room()) {
+                Ok(0) => return self.over(number),
+                Ok(count) => line.incoming.filled(count),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return self.over(number),
+            }
+            loop {
+                match line.incoming.take() {
+                    Ok(Some(record)) if record.kind == kind::STDOUT => {
+                        line.stdout.entry(record.id).or_default().extend_from_slice(record.content);
+                    }
+                    Ok(Some(record)) if record.kind == kind::END_REQUEST => {
+                        let head = line.stdout.remove(&record.id).unwrap_or_default();
+                        let Some(asked) = line.open.remove(&record.id) else {
+                            self.seen.twice += 1;
+                            continue;
+                        };
+                        let head = String::from_utf8_lossy(&head);
+                        let status = head.lines().find_map(|line| line.strip_prefix("Status: "));
+                        let status = status.unwrap_or("none").to_owned();
+                        if status == "200" {
+                            let _ = self.seen.times.record((asked.sent.elapsed().as_micros() as u64).max(1));
+                        }
+                        *self.seen.answered.entry(status).or_default() += 1;
+                    }
+                    Ok(Some(_)) => {}
+                    Ok(None) => break,
+                    Err(_) => return self.over(number),
+                }
+            }
+        }
+    }
+
+    fn wait(&mut self, until: Instant) {
+        let mut events = Events::with_capacity(1024);
+        let left = until.saturating_duration_since(Instant::now());
+        let _ = self.poll.poll(&mut events, Some(left));
+        let numbers: Vec<usize> = events.iter().map(|event| event.token().0).collect();
+        numbers.into_iter().for_each(|number| self.read(number));
+    }
+
+    /// Plays; `each` is called about once in so long, and ends it by `false`.
+    pub fn play(&mut self, every: Duration, mut each: impl FnMut(&Seen) -> bool) {
+        let between = Duration::from_secs_f64(1.0 / self.order.rate);
+        if !self.order.once {
+            self.fill(self.order.connections);
+        }
+        let now = Instant::now();
+        let (mut next, mut look) = (now, now + every);
+        let end = now + self.order.lasts;
+        while next < end {
+            while Instant::now() < next {
+                self.wait(next);
+            }
+            self.ask();
+            next += between;
+            if Instant::now() >= look {
+                look += every;
+                if !each(&self.seen) {
+                    break;
+                }
+            }
+        }
+        // The rest has its time, and a second.
+        let last = Instant::now() + Duration::from_millis(self.order.timeout_ms + 1000);
+        while self.lines.values().any(|line| !line.open.is_empty()) && Instant::now() < last {
+            self.wait(last.min(Instant::now() + Duration::from_millis(100)));
+        }
+        self.seen.lost += self.lines.values().map(|line| line.open.len() as u64).sum::<u64>();
+    }
+}
--- a/crates/asterdale-rig/src/lib.rs
+++ b/crates/asterdale-rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! seed. All of it stays on loopback.
 
 pub mod caller;
+pub mod crowd;
 pub mod demo;
 pub mod flood;
 pub mod issuer;
@@ -11,6 +12,7 @@
 pub mod replace;
 pub mod scripted;
 pub mod services;
+pub mod soak;
 pub mod worker;
 
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -3,9 +3,10 @@
 use std::process::ExitCode;
 
 use asterdale_rig::proofs::{rotation, upgrade, Order};
-use asterdale_rig::{demo, flood, replace};
+use asterdale_rig::{demo, flood, replace, soak};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde_json::json;
+use std::time::Duration;
 
 /// Stand-ins, a demonstration and proofs, all on loopback.
 #[derive(Parser)]
@@ -52,6 +53,25 @@
         #[arg(long, default_value_t = 200.0)]
         rate: f64,
     },
+    /// Hold a crowd of connections open for long: memory, threads and descriptors by their slope, and what became of
+    /// each request; exit code 0 only if nothing was lost and nothing grows
+    Soak {
+        /// Connections held open
+        #[arg(long, default_value_t = 600)]
+        connections: usize,
+        /// Requests a second
+        #[arg(long, default_value_t = 200.0)]
+        rate: f64,
+        /// How long; an hour is 3600
+        #[arg(long, default_value_t = 120)]
+        seconds: u64,
+        /// Each request comes on a connection of its own, which then stays
+        #[arg(long)]
+        once: bool,
+        /// Ids are drawn from it
+        #[arg(long, default_value_t = 1)]
+        seed: u32,
+    },
     /// Measure what a flood of revoked retries costs the others
     Flood {
         /// Revoked retries a second
@@ -102,6 +122,14 @@
             println!("{figures:#}");
             true
         }),
+        Command::Soak { connections, rate, seconds, once, seed } => {
+            let (rate, lasts) = (rate.clamp(0.1, 5000.0), Duration::from_secs(seconds));
+            let connections = connections.clamp(1, 8000);
+            soak::soak(&soak::Soak { connections, rate, lasts, once, seed }).map(|figures| {
+                println!("{figures}");
+                figures["held"] == true
+            })
+        }
         Command::Flood { flood, rate, seconds, share } => {
             flood::measure(&flood::Order { flood, rate, seconds, share }).map(|figures| {
                 println!("{figures:#}");
--- a/crates/asterdale-rig/src/process.rs
+++ b/crates/asterdale-rig/src/process.rs
@@ -152,6 +152,13 @@
         found.trim_end_matches(',').parse().ok()
     }
 
+    /// Its threads and its descriptors.
+    pub fn holds(&self) -> (usize, usize) {
+        let count =
+            |what: &str| std::fs::read_dir(format!("/proc/{}/{what}", self.id())).map_or(0, Iterator::count);
+        (count("task"), count("fd"))
+    }
+
     /// CPU time that it has used, in milliseconds, and its memory, in KiB; as Linux tells them.
     pub fn usage(&self) -> (f64, u64) {
         let read =
--- /dev/null
+++ b/crates/asterdale-rig/src/soak.rs
@@ -0,0 +1,119 @@
+//! A soak: one daemon among stand-ins under a steady crowd, for minutes or hours. Memory, threads and descriptors are
+//! read every second, and told by their slope over the second half: what leaks shows there however small it is.
+//! Held if each request got its one answer and nothing grows.
+
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::crowd::{Crowd, Order};
+use crate::process::{program, Daemon, Recipe};
+use crate::proofs::quantiles;
+use crate::worker::Worker;
+use crate::{scripted, services};
+
+/// Threads that a daemon may have, whatever the number of its connections.
+pub const MOST_THREADS: usize = 12;
+/// KiB that the memory may grow in an hour by the slope. A leak of 16 bytes a task shows at 200 tasks a second;
+/// what the allocator does by itself within minutes stays under it.
+const MOST_KIB: f64 = 8192.0;
+/// Descriptors by which their number may grow in an hour: one is a measurement's edge, more is a leak.
+const MOST_DESCRIPTORS: f64 = 60.0;
+
+/// What is asked of a soak.
+pub struct Soak {
+    /// Connections that are held open.
+    pub connections: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long.
+    pub lasts: Duration,
+    /// Each request comes on a connection of its own, which stays until the backend ends it.
+    pub once: bool,
+    /// Of the schedule and the ids.
+    pub seed: u32,
+}
+
+/// A daemon that takes this many connections, its runs by the worker, its calls by stand-ins. Its address comes
+/// back with it.
+pub fn daemon(worker: &Worker, sockets: usize) -> Result<(Daemon, std::net::SocketAddr), String> {
+    let told = |e: std::io::Error| e.to_string();
+    let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
+    let mut start = scripted::config(scripted::address(), worker.at, records, registry);
+    start["limits"]["sockets"] = json!(sockets);
+    start["limits"]["memory_mb"] = json!(512);
+    start["settings"]["extra"]["cores"] = json!(4);
+    let at = start["listen"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
+    let daemon = Daemon::start(&Recipe { program: program(), start, plant: None })?;
+    daemon.listens(at)?;
+    Ok((daemon, at))
+}
+
+/// What a daemon holds at one moment: seconds since the start, KiB, threads, descriptors.
+type Sample = (f64, f64, f64, f64);
+
+/// The slope of a straight line through the second half of these, per hour.
+fn slope(samples: &[Sample], of: impl Fn(&Sample) -> f64) -> f64 {
+    let half = &samples[samples.len() / 2..];
+    let n = half.len().max(1) as f64;
+    let mean = |of: &dyn Fn(&Sample) -> f64| half.iter().map(of).sum::<f64>() / n;
+    let (mx, my) = (mean(&|s| s.0), mean(&|s| of(s)));
+    let over: f64 = half.iter().map(|s| (s.0 - mx) * (of(s) - my)).sum();
+    let under: f64 = half.iter().map(|s| (s.0 - mx).powi(2)).sum();
+    if under > 0.0 {
+        over / under * 3600.0
+    } else {
+        0.0
+    }
+}
+
+/// Plays it; the figures.
+pub fn soak(order: &Soak) -> Result<Value, String> {
+    let worker = Worker::start(4, (2, 6)).map_err(|e| e.to_string())?;
+    let (mut daemon, at) = daemon(&worker, 16 * 1024)?;
+    let mut crowd = Crowd::new(Order {
+        at,
+        connections: order.connections,
+        edges: 150,
+        rate: order.rate,
+        lasts: order.lasts,
+        once: order.once,
+        stages: vec!["page", "bid"],
+        timeout_ms: 5000,
+        seed: order.seed,
+    })
+    .map_err(|e| e.to_string())?;
+    let (began, mut samples, mut died) = (Instant::now(), Vec::new(), false);
+    let cpu_before = daemon.usage().0;
+    crowd.play(Duration::from_secs(1), |_| {
+        let ((_, kib), (threads, descriptors)) = (daemon.usage(), daemon.holds());
+        samples.push((began.elapsed().as_secs_f64(), kib as f64, threads as f64, descriptors as f64));
+        died = daemon.ended();
+        !died
+    });
+    let seconds = began.elapsed().as_secs_f64();
+    let cpu_ms = daemon.usage().0 - cpu_before;
+    let most = |of: &dyn Fn(&Sample) -> f64| samples.iter().map(of).fold(0.0, f64::max);
+    let (threads, descriptors, kib) = (most(&|s| s.2), most(&|s| s.3), most(&|s| s.1));
+    let grows = (slope(&samples, |s| s.1), slope(&samples, |s| s.2), slope(&samples, |s| s.3));
+    let (open, seen) = (crowd.open(), &crowd.seen);
+    let twice: u32 = worker.runs().values().map(|&runs| runs.saturating_sub(1)).sum();
+    let answered = seen.lost == 0 && seen.twice == 0 && seen.refused == 0 && twice == 0;
+    // Connections that come and stay make memory and descriptors grow until the backend's bounds: no leak.
+    let flat = order.once || grows.0 < MOST_KIB && grows.2 < MOST_DESCRIPTORS;
+    let held = answered && !died && flat && threads <= MOST_THREADS as f64 && seen.all_answers() == seen.sent;
+    let round = |x: f64| (x * 100.0).round() / 100.0;
+    let figures = json!({"held": held, "connections": order.connections, "rate": order.rate, "once": order.once,
+        "seconds": round(seconds), "sent": seen.sent, "answered": seen.answered, "lost": seen.lost,
+        "answers_twice": seen.twice, "runs_twice": twice, "refused": seen.refused, "ended": seen.ended,
+        "open_at_the_end": open, "milliseconds": quantiles(&seen.times),
+        "cpu_ms_a_second": round(cpu_ms / seconds), "cpu_us_a_task": round(cpu_ms * 1e3 / seen.sent.max(1) as f64),
+        "threads": threads, "descriptors": descriptors, "kib": kib,
+        "slope_an_hour": {"kib": round(grows.0), "threads": round(grows.1), "descriptors": round(grows.2)}});
+    if died {
+        return Err(format!("the daemon ended by itself: {figures}\n{}", daemon.log().join("\n")));
+    }
+    drop(crowd);
+    daemon.leave(Duration::from_secs(10));
+    Ok(figures)
+}
--- a/crates/asterdale-rig/src/worker.rs
+++ b/crates/asterdale-rig/src/worker.rs
@@ -1,7 +1,7 @@
 //! A runtime that works by itself: it runs what is started for as long as the task's id says, and counts every
 //! run, which is how proofs see what ran twice or should not have run.
 
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -12,6 +12,9 @@
 use base64::Engine;
 use serde_json::{json, Value};
 
+/// Notices that are kept, as the platform has it.
+const KEPT: usize = 4000;
+
 /// A run that will be over.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Due(std::cmp::Reverse<Instant>, String);
@@ -19,7 +22,9 @@
 #[derive(Default)]
 struct State {
     link: Option<TcpStream>,
-    notices: Vec<Value>,
+    /// The last ones, and how many there were before them.
+    notices: VecDeque<Value>,
+    before: usize,
     due: BinaryHeap<Due>,
     running: HashMap<String, Instant>,
     runs: HashMap<String, u32>,
@@ -91,11 +96,13 @@
                 if no == 0 {
                     // A backend that starts anew: notices are numbered from 1 again, and nothing runs for it.
                     state.notices.clear();
+                    state.before = 0;
                     state.running.clear();
                     state.due.clear();
                 }
                 state.say(&json!({"t": "ready", "status": "LOADED", "time_ms": 5}));
-                let missed = state.notices.iter().skip(no).cloned().collect::<Vec<_>>();
+                let missed =
+                    state.notices.iter().skip(no.saturating_sub(state.before)).cloned().collect::<Vec<_>>();
                 missed.iter().for_each(|notice| state.say(notice));
             }
             "gauges" => {
@@ -129,10 +136,14 @@
                     let Some(Due(_, id)) = state.due.pop() else { continue };
                     if state.running.remove(&id).is_some() {
                         let body = STANDARD.encode(result(&id));
-                        let no = state.notices.len() + 1;
+                        let no = state.before + state.notices.len() + 1;
                         let end = json!({"t": "end", "no": no, "rid": id, "status": "PASS", "time_ms": 1, "b64": body});
                         state.say(&end);
-                        state.notices.push(end);
+                        state.notices.push_back(end);
+                        if state.notices.len() > KEPT {
+                            state.notices.pop_front();
+                            state.before += 1;
+                        }
                     }
                     continue;
                 }
