The talk of a fleet on sockets, asterdale fleet, a proof with twelve processes

Need: where processes may talk, each has to know who else is there; today a figure of the settings says so. Change: asterdale-talk brings the state machine of asterdale-members onto UDP and TCP (three threads, all bounds stated); the section fleet of the start file, each fault by its path; asterdale fleet show, watch and leave over a control socket; a log line for each change. The module may hear how many others are there and warm (Server::fleet): it weighs shares of allowance and advice by that, and points nobody elsewhere where nobody else is warm; without a word it decides as before. The rig has relays between each ordered pair of processes, a fleet of daemons, and the proof fleet. Off in the platform's build by feature: no listener, thread or byte.

--- a/crates/asterdale-daemon/src/cli.rs
+++ b/crates/asterdale-daemon/src/cli.rs
@@ -13,6 +13,7 @@
   ROUTER_CONFIG=deploy/loopback.json asterdale
   asterdale serve deploy/loopback.json --log json --level debug
   asterdale check deploy/identity.json
+  asterdale fleet show --control /run/asterdale/fleet --json
   asterdale keys new --id root --out root.jwk
   asterdale token mint --key key.jwk --issuer office --audience asterdale --tenant house --subject ann --role clerk";
 
@@ -51,6 +52,10 @@
         #[arg(long)]
         binary: Option<PathBuf>,
     },
+    /// Look at the fleet as a serving process holds it, or have that process leave it
+    #[cfg(feature = "fleet")]
+    #[command(subcommand)]
+    Fleet(crate::fleet::Command),
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -145,6 +150,8 @@
             crate::upgrade::ask(&control, &binary, |phase| println!("{phase}"))
                 .map(|process| println!("done: process {process} serves"))
         }
+        #[cfg(feature = "fleet")]
+        Some(Command::Fleet(command)) => return crate::fleet::run(&command),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "asterdale", &mut std::io::stdout());
             Ok(())
--- /dev/null
+++ b/crates/asterdale-daemon/src/fleet.rs
@@ -0,0 +1,181 @@
+//! The fleet that this process belongs to: its talk begins here, is told in the log, and is looked at from the command
+//! line.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use asterdale_host::log::Log;
+use asterdale_host::mail::{Company, Doing};
+use asterdale_members::{Event, Notes, Phase, Start as Told, Terms};
+use asterdale_talk::{Place, Talk};
+
+use crate::start::{Fleet, Start};
+
+/// A probe's answer may take this part of the interval, as by default.
+const TIMEOUT: f64 = 0.3;
+
+/// The others, as the host sees them.
+struct Others(Talk);
+
+impl Company for Others {
+    fn others(&self) -> Option<(f64, f64)> {
+        let there = self.0.summary.there();
+        let own = u32::from(self.0.summary.is_warm());
+        (there > 0).then(|| (f64::from(there - 1), f64::from(self.0.summary.warm().saturating_sub(own))))
+    }
+
+    fn says(&self, doing: Doing) {
+        let Doing { takes, cold, leaves, load } = doing;
+        let phase = match (leaves, cold, takes) {
+            (true, ..) => Phase::Leaving,
+            (_, true, _) => Phase::Cold,
+            (.., false) => Phase::Full,
+            _ => Phase::Ready,
+        };
+        // In steps, so that a load that wavers is no news.
+        let load = load.saturating_add(5) / 10 * 10;
+        self.0.note(Notes { phase, load, warm: if cold { 0 } else { 100 } });
+    }
+}
+
+/// Begins to talk.
+pub fn begin(fleet: &Fleet, start: &Start, log: &Log) -> Result<Arc<dyn Company>, String> {
+    let mut nonce = [0; 8];
+    getrandom::fill(&mut nonce).map_err(|e| format!("fleet: no random bytes: {e}"))?;
+    let interval_ms = fleet.interval_ms;
+    let told = Told {
+        name: start.name.clone(),
+        at: fleet.advertise,
+        generation: 0,
+        nonce: u64::from_be_bytes(nonce),
+        seeds: fleet.seeds.clone(),
+        key: fleet.key.clone(),
+        terms: Terms { interval_ms, timeout_ms: TIMEOUT * interval_ms, ..Terms::default() },
+        seed: start.facts.told.seed,
+    };
+    let control = fleet.control.as_ref().map(PathBuf::from);
+    let place = Place { listen: fleet.listen, control, start: told };
+    let lines = log.lines.clone();
+    let talk = asterdale_talk::begin(place, move |event| tell(&lines, event));
+    talk.map(|talk| Arc::new(Others(talk)) as Arc<dyn Company>)
+        .map_err(|e| format!("fleet: {}: {e}", fleet.listen))
+}
+
+/// A line for each event.
+fn tell(lines: &slog::Logger, event: &Event) {
+    match event {
+        Event::Joined(generation) => slog::info!(lines, "fleet: a member"; "generation" => generation),
+        Event::Changed { name, generation, what, by } => {
+            slog::info!(lines, "fleet: a change"; "name" => name, "generation" => generation, "what" => ?what, "by" => by);
+        }
+        Event::Fallen { by } => {
+            slog::warn!(lines, "fleet: the others hold this process for dead, it begins anew"; "by" => by);
+        }
+        Event::Renewed(generation) => {
+            slog::info!(lines, "fleet: a member again"; "generation" => generation);
+        }
+        Event::Doubled(at) => {
+            slog::error!(lines, "fleet: another process may have this name"; "at" => %at);
+        }
+        Event::Superseded(at) => {
+            slog::error!(lines, "fleet: a newer process has this name, this one is no member"; "at" => %at);
+        }
+        Event::Paused(ms) => slog::warn!(lines, "fleet: this process stood still"; "ms" => ms.round()),
+        Event::Certain(true) => slog::info!(lines, "fleet: most of it is heard"),
+        Event::Certain(false) => slog::warn!(lines, "fleet: not sure to hear most of it"),
+        Event::Refused(least, most) => {
+            slog::error!(lines, "fleet: another speaks other versions"; "least" => least, "most" => most);
+        }
+    }
+}
+
+#[cfg(feature = "tools")]
+pub use line::{run, Command};
+
+#[cfg(feature = "tools")]
+mod line {
+    use std::collections::BTreeMap;
+    use std::path::PathBuf;
+    use std::process::ExitCode;
+    use std::thread;
+    use std::time::Duration;
+
+    use asterdale_talk::control;
+    use clap::{Args, Subcommand};
+
+    /// Where the process is asked.
+    #[derive(Args)]
+    pub struct At {
+        /// The control socket, as the start file names it in `fleet.control`
+        #[arg(long)]
+        control: PathBuf,
+    }
+
+    /// What is asked about the fleet.
+    #[derive(Subcommand)]
+    pub enum Command {
+        /// Print what the process holds of its fleet; exit code 1 if it is not certain of it
+        Show {
+            #[command(flatten)]
+            at: At,
+            /// As JSON
+            #[arg(long)]
+            json: bool,
+        },
+        /// Print each change, as it is held, until interrupted or the process ends
+        Watch {
+            #[command(flatten)]
+            at: At,
+            /// How often to look, in milliseconds
+            #[arg(long, default_value_t = 500)]
+            every_ms: u64,
+        },
+        /// Have the process leave its fleet: it serves on, and counts as gone
+        Leave {
+            #[command(flatten)]
+            at: At,
+        },
+    }
+
+    fn watch(at: &At, every_ms: u64) -> Result<(), String> {
+        let mut held: BTreeMap<String, (u64, String)> = BTreeMap::new();
+        loop {
+            let shown = control::show(&at.control)?;
+            let all = std::iter::once(&shown.me).chain(&shown.members);
+            let now: BTreeMap<_, _> =
+                all.map(|m| (m.name.clone(), (m.generation, m.status.clone()))).collect();
+            for (name, (generation, status)) in &now {
+                if held.get(name) != Some(&(*generation, status.clone())) {
+                    println!("{name} generation {generation} {status}");
+                }
+            }
+            for name in held.keys().filter(|name| !now.contains_key(*name)) {
+                println!("{name} forgotten");
+            }
+            held = now;
+            thread::sleep(Duration::from_millis(every_ms.max(10)));
+        }
+    }
+
+    /// Does it.
+    pub fn run(command: &Command) -> ExitCode {
+        let done = match command {
+            Command::Show { at, json } => control::show(&at.control).map(|shown| {
+                let text =
+                    if *json { serde_json::to_string(&shown).unwrap_or_default() } else { shown.table() };
+                println!("{text}");
+                if shown.certain {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::FAILURE
+                }
+            }),
+            Command::Watch { at, every_ms } => watch(at, *every_ms).map(|()| ExitCode::SUCCESS),
+            Command::Leave { at } => control::leave(&at.control).map(|()| ExitCode::SUCCESS),
+        };
+        done.unwrap_or_else(|why| {
+            eprintln!("asterdale: {why}");
+            ExitCode::from(2)
+        })
+    }
+}
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -3,6 +3,8 @@
 #[cfg(feature = "tools")]
 mod cli;
 mod edge;
+#[cfg(feature = "fleet")]
+mod fleet;
 mod head;
 #[cfg(feature = "tools")]
 mod keys;
@@ -239,12 +241,17 @@
     let (records, caller) = records::new(start.peers.records, mail.clone(), counters.clone(), log.clone())
         .map_err(|e| format!("records: {e}"))?;
     spawn("calls", move || caller.serve())?;
+    #[cfg(feature = "fleet")]
+    let company = start.fleet.as_ref().map(|told| fleet::begin(told, &start, log)).transpose()?;
+    #[cfg(not(feature = "fleet"))]
+    let company = None;
     let around = Around {
         records,
         fronts: Arc::new(Doors(edges)),
         list,
         moves,
         issuer: nudges,
+        company,
         counters,
         log: log.clone(),
     };
@@ -382,7 +389,10 @@
 fn main() -> ExitCode {
     #[cfg(feature = "planted")]
     if let Ok(name) = std::env::var("ASTERDALE_PLANT") {
-        assert!(asterdale_identity::planted::plant(&name), "no fault {name} can be planted");
+        let planted = asterdale_identity::planted::plant(&name);
+        #[cfg(feature = "fleet")]
+        let planted = planted || asterdale_members::planted::plant(&name);
+        assert!(planted, "no fault {name} can be planted");
     }
     #[cfg(feature = "tools")]
     return cli::run();
--- a/crates/asterdale-daemon/src/start/file.rs
+++ b/crates/asterdale-daemon/src/start/file.rs
@@ -90,6 +90,29 @@
     pub tls: Option<Tls>,
     /// How another process takes over while this one serves. Absent: none can.
     pub upgrade: Option<Upgrade>,
+    /// The fleet that this process belongs to, and talks with. Absent: it talks with nobody.
+    pub fleet: Option<Fleet>,
+}
+
+/// The fleet that a process belongs to, and talks with: over UDP and TCP, at the same port.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[cfg_attr(feature = "tools", derive(JsonSchema))]
+#[serde(default, deny_unknown_fields)]
+pub struct Fleet {
+    /// Where it hears the others.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub listen: Option<Address>,
+    /// Where they reach it; `listen` if absent.
+    pub advertise: Option<Address>,
+    /// Processes that are asked first, by where they are reached. None: it waits to be asked.
+    pub seeds: Option<Vec<Address>>,
+    /// Path of a file with the fleet's key: whatever bytes it has, 16 at the least, without white space at its ends.
+    #[cfg_attr(feature = "tools", schemars(required))]
+    pub key: Option<String>,
+    /// From one probe to the next, in milliseconds; 1000 if absent. The same in the whole fleet.
+    pub interval_ms: Option<Positive>,
+    /// Path of a control socket, for `asterdale fleet`, in a folder that is closed to other users. Absent: none.
+    pub control: Option<String>,
 }
 
 /// How another process takes over while this one serves.
--- a/crates/asterdale-daemon/src/start/mod.rs
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -45,6 +45,26 @@
     /// Path of the control socket, where another process can take over.
     #[cfg_attr(not(feature = "upgrade"), expect(dead_code, reason = "such a file is a fault there"))]
     pub control: Option<String>,
+    /// The fleet that this process talks with.
+    #[cfg_attr(not(feature = "fleet"), expect(dead_code, reason = "such a file is a fault there"))]
+    pub fleet: Option<Fleet>,
+}
+
+/// The fleet that a process talks with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Where it hears the others.
+    pub listen: SocketAddr,
+    /// Where they reach it.
+    pub advertise: SocketAddr,
+    /// Who is asked first.
+    pub seeds: Vec<SocketAddr>,
+    /// The fleet's key.
+    pub key: Vec<u8>,
+    /// From one probe to the next.
+    pub interval_ms: f64,
+    /// Path of the control socket.
+    pub control: Option<String>,
 }
 
 /// A listener for edge nodes that show a certificate: where, and the paths of its files.
@@ -163,6 +183,10 @@
         }
         faults.wanted("upgrade.control", section.control)
     });
+    let fleet = file.fleet.and_then(|section| fleet(&mut faults, section));
+    if fleet.is_some() && control.is_some() {
+        faults.add("fleet", "can't be told together with upgrade: two processes would have one address");
+    }
     let identity = file.identity.and_then(|callers| identity(&mut faults, callers, seed, &facts));
     if !faults.0.is_empty() {
         return Err(faults.0);
@@ -179,6 +203,7 @@
         identity,
         tls,
         control,
+        fleet,
     })
 }
 
@@ -193,6 +218,45 @@
     Some(Tls { listen: listen?.0, certificate: certificate?, key: key?, clients: clients? })
 }
 
+/// A key of fewer bytes could be guessed.
+const LEAST_KEY: usize = 16;
+/// No key is longer, whatever is behind the path.
+const MOST_KEY: u64 = 4096;
+
+fn fleet(faults: &mut Faults, section: file::Fleet) -> Option<Fleet> {
+    if !cfg!(feature = "fleet") {
+        faults.add("fleet", "this build talks with nobody");
+    }
+    let listen = faults.wanted("fleet.listen", section.listen);
+    let advertise = section.advertise.or(section.listen);
+    if advertise.is_some_and(|at| at.0.ip().is_unspecified() || at.0.port() == 0) {
+        faults.add("fleet.advertise", "an address that the others can reach is wanted");
+    }
+    let interval_ms = section.interval_ms.map_or(1000.0, |ms| ms.0);
+    if !(20.0..=60_000.0).contains(&interval_ms) {
+        faults.add("fleet.interval_ms", "from 20 to 60000 is wanted");
+    }
+    let path = faults.wanted("fleet.key", section.key)?;
+    let mut key = Vec::new();
+    let read = std::fs::File::open(&path).and_then(|file| file.take(MOST_KEY).read_to_end(&mut key));
+    match read {
+        Err(e) => faults.add("fleet.key", format!("{path}: {e}")),
+        Ok(_) if key.trim_ascii().len() < LEAST_KEY => {
+            faults.add("fleet.key", format!("{path}: {LEAST_KEY} bytes are wanted at the least"));
+        }
+        Ok(_) => {}
+    }
+    let seeds = section.seeds.unwrap_or_default().into_iter().map(|seed| seed.0).collect();
+    Some(Fleet {
+        listen: listen?.0,
+        advertise: advertise?.0,
+        seeds,
+        key: key.trim_ascii().to_vec(),
+        interval_ms,
+        control: section.control,
+    })
+}
+
 /// What the decisions are told must name its stages and the machine; the rest may be zero.
 fn told(faults: &mut Faults, file: &File) {
     let Some(told) = faults.wanted("settings", file.settings.as_ref()) else { return };
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -18,7 +18,8 @@
 use crate::issuer::Nudge;
 use crate::log::{Kind, Log};
 use crate::mail::{
-    Asked, Client, Course, Fronts, How, Id, Line, Mail, Peers, Reply, Request, Serial, Way, Word,
+    Asked, Client, Company, Course, Doing, Fronts, How, Id, Line, Mail, Peers, Reply, Request, Serial, Way,
+    Word,
 };
 use crate::records::Records;
 use crate::runtime;
@@ -95,6 +96,8 @@
     pub moves: Sender<Course>,
     /// The issuer's actor, where there is one.
     pub issuer: Option<Sender<Nudge>>,
+    /// The other processes of the fleet, where this one talks with them.
+    pub company: Option<Arc<dyn Company>>,
     /// Counts.
     pub counters: Arc<Counters>,
     /// Has lines.
@@ -136,6 +139,9 @@
     peers: Peers,
     pub(crate) list: Sender<Word>,
     pub(crate) moves: Sender<Course>,
+    company: Option<Arc<dyn Company>>,
+    /// Until when it counts as cold, once the module has begun.
+    cold_until: f64,
     /// When all must be answered, once the notice has come.
     pub(crate) leave_by: Option<Instant>,
     /// Whether the work is another process's, or about to be.
@@ -146,7 +152,7 @@
 impl Host {
     /// A host with nothing in it.
     pub fn new(begin: Begin, around: Around) -> Host {
-        let Around { records, fronts, list, moves, issuer, counters, log } = around;
+        let Around { records, fronts, list, moves, issuer, company, counters, log } = around;
         let Begin { facts, memory, stop_ms, peers, identity } = begin;
         let longest = facts.told.stages.iter().map(|s| s.limit_ms).fold(0.0, f64::max);
         let clock = Clock { unix: unix_ms(), began: Instant::now() };
@@ -190,6 +196,8 @@
             peers,
             list,
             moves,
+            company,
+            cold_until: f64::INFINITY,
             leave_by: None,
             #[cfg(feature = "handover")]
             aside: crate::passing::Aside::default(),
@@ -247,6 +255,7 @@
     /// Drops what is kept for nobody: fingerprints that have lapsed, checks that nobody waits for, runs that
     /// may never have begun.
     fn sweep(&mut self) {
+        self.company();
         self.tasks.fingerprints.sweep(self.tasks.now);
         self.tasks.send_again(false);
         self.checks.retain(|_, check| {
@@ -258,6 +267,18 @@
         });
     }
 
+    /// Says to the other processes of the fleet what this one is doing, and hears how many there are.
+    fn company(&mut self) {
+        let Some(company) = &self.company else { return };
+        let load = self.gauges.cpu.map_or(0.0, |cpu| (cpu * 100.0).clamp(0.0, 100.0));
+        let cold = self.tasks.now < self.cold_until;
+        let leaves = self.leave_by.is_some();
+        company.says(Doing { takes: self.tasks.good && !leaves, cold, leaves, load: load as u8 });
+        if let Some(server) = &mut self.server {
+            server.fleet(company.others());
+        }
+    }
+
     /// After all that was read is answered: lets the connections end, and waits for them.
     fn left(&mut self, mailbox: &Receiver<Mail>) -> bool {
         self.tasks.fronts.close();
@@ -328,6 +349,7 @@
             slog::info!(self.tasks.log.lines, "host: begun"; "cold" => told.cold, "ago_ms" => ago_ms);
             // A cold server warms from the runtime's start on.
             let since = if told.cold { ago_ms.clamp(0.0, told.cold_ms) } else { 0.0 };
+            self.cold_until = if told.cold { self.tasks.now - since + told.cold_ms } else { self.tasks.now };
             self.server = Some(Server::start(told, self.tasks.now - since, &mut self.tasks));
         }
     }
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -130,6 +130,28 @@
     fn aside(&self, aside: bool);
 }
 
+/// What a process says of itself to the others of its fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doing {
+    /// It takes new work.
+    pub takes: bool,
+    /// It began without warm state not long ago.
+    pub cold: bool,
+    /// It is leaving.
+    pub leaves: bool,
+    /// Busy part of its cores, in hundredths.
+    pub load: u8,
+}
+
+/// The other processes of the fleet, where this one talks with them. What it tells is a hint, and never a lock.
+pub trait Company: Send + Sync {
+    /// Other processes that are there, and those of them that take work and are warm; `None` where that is not
+    /// known, or known to a minority alone.
+    fn others(&self) -> Option<(f64, f64)>;
+    /// What this process says of itself from now on. Never waits.
+    fn says(&self, doing: Doing);
+}
+
 /// What comes to the host.
 pub enum Mail {
     /// A task has come whole.
--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use asterdale_rig::proofs::{rotation, upgrade, Order};
+use asterdale_rig::proofs::{fleet, rotation, upgrade, Order};
 use asterdale_rig::{demo, flood, replace, soak};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde_json::json;
@@ -43,6 +43,15 @@
         /// And how many of them are made to fail
         #[arg(long, default_value_t = 3)]
         fails: u32,
+        /// Of the proof fleet: how many processes
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        /// From one probe to the next, in milliseconds
+        #[arg(long, default_value_t = 100.0)]
+        interval_ms: f64,
+        /// How often all kinds of faults come
+        #[arg(long, default_value_t = 1)]
+        rounds: u32,
         /// A fault to plant in the daemon: the proof must not hold then
         #[arg(long)]
         plant: Option<String>,
@@ -95,6 +104,8 @@
     Rotation,
     /// The serving process is replaced under load
     Upgrade,
+    /// Many processes keep a view of each other through crashes, pauses and partitions
+    Fleet,
 }
 
 fn main() -> ExitCode {
@@ -104,10 +115,14 @@
                 println!("{text}");
                 true
             }),
-        Command::Prove { name, seed, seconds, upgrades, fails, plant } => {
+        Command::Prove { name, seed, seconds, upgrades, fails, members, interval_ms, rounds, plant } => {
             let order = Order { seed, seconds, plant: plant.clone() };
             let (called, figures) = match name {
                 Proof::Rotation => ("rotation", rotation::prove(&order)),
+                Proof::Fleet => {
+                    let members = members.clamp(3, 60);
+                    ("fleet", fleet::prove(&fleet::Told { order, members, interval_ms, rounds }))
+                }
                 Proof::Upgrade => ("upgrade", upgrade::prove(&order, upgrades, fails.min(upgrades))),
             };
             figures.map(|mut figures| {
--- /dev/null
+++ b/crates/asterdale-rig/src/many.rs
@@ -0,0 +1,183 @@
+//! Many daemons at once: each a child process with a start file, a folder and a runtime stand-in of its own, reached by
+//! the others through relays. Started, killed, stopped and let go on by their number.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::process::{Daemon, Recipe};
+use crate::relays::Relays;
+use crate::worker::Worker;
+use crate::{scripted, services};
+
+/// The fleet's key, of no use anywhere else.
+const KEY: &str = "a key for loopback alone";
+
+/// One place in the fleet.
+struct Member {
+    recipe: Recipe,
+    at: SocketAddr,
+    control: PathBuf,
+    worker: Worker,
+    daemon: Option<Daemon>,
+    stopped: bool,
+}
+
+/// The fleet.
+pub struct Many {
+    members: Vec<Member>,
+    /// What passes between them.
+    pub relays: Relays,
+    folder: PathBuf,
+}
+
+/// How a fleet is made.
+pub struct Order {
+    /// How many.
+    pub members: usize,
+    /// The first so many are seeds.
+    pub seeds: usize,
+    /// From one probe to the next, in milliseconds.
+    pub interval_ms: f64,
+    /// The program.
+    pub program: PathBuf,
+    /// A fault that is planted in it.
+    pub plant: Option<String>,
+    /// Chance of the relays.
+    pub seed: u64,
+}
+
+/// The name of a member.
+pub fn name(n: usize) -> String {
+    format!("n{n}")
+}
+
+impl Many {
+    /// Nobody runs yet.
+    pub fn new(order: &Order) -> Result<Many, String> {
+        let told = |e: std::io::Error| e.to_string();
+        let folder = std::env::temp_dir().join(format!("asterdale-many-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(told)?;
+        let key = folder.join("key");
+        std::fs::write(&key, KEY).map_err(told)?;
+        // Each has a loopback address of its own; of its ports one is for edge nodes, one for talk.
+        let places: Vec<SocketAddr> = (0..order.members).map(|_| scripted::address()).collect();
+        let listens: Vec<SocketAddr> =
+            places.iter().map(|at| SocketAddr::new(at.ip(), at.port() + 100)).collect();
+        let names = (0..order.members).map(name).collect();
+        let relays = Relays::begin(listens.clone(), names, order.seed).map_err(told)?;
+        let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
+        let mut members = Vec::new();
+        for (n, &at) in places.iter().enumerate() {
+            let worker = Worker::start(4, (2, 8)).map_err(told)?;
+            let control = folder.join(format!("{n}.control"));
+            let mut start = scripted::config(at, worker.at, records, registry);
+            start["name"] = json!(name(n));
+            start["seed"] = json!(format!("{:x}", order.seed ^ (n as u64 + 1)));
+            start["settings"]["servers"] = json!(order.members);
+            start["fleet"] = json!({"listen": listens[n], "advertise": relays.advertised[n], "key": key,
+                "seeds": relays.advertised[..order.seeds], "interval_ms": order.interval_ms,
+                "control": control});
+            let recipe = Recipe { program: order.program.clone(), start, plant: order.plant.clone() };
+            members.push(Member { recipe, at, control, worker, daemon: None, stopped: false });
+        }
+        Ok(Many { members, relays, folder })
+    }
+
+    /// How many places there are.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Where edge nodes reach this one.
+    pub fn at(&self, n: usize) -> SocketAddr {
+        self.members[n].at
+    }
+
+    /// Its runtime.
+    pub fn worker(&self, n: usize) -> &Worker {
+        &self.members[n].worker
+    }
+
+    /// Starts it.
+    pub fn start(&mut self, n: usize) -> Result<(), String> {
+        let member = &mut self.members[n];
+        member.daemon = Some(Daemon::start(&member.recipe)?);
+        Ok(())
+    }
+
+    /// Waits until it takes edge nodes' connections.
+    pub fn listens(&self, n: usize) -> Result<(), String> {
+        self.members[n].daemon.as_ref().map_or(Ok(()), |daemon| daemon.listens(self.members[n].at))
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self, n: usize) {
+        (self.members[n].daemon, self.members[n].stopped) = (None, false);
+    }
+
+    /// Has it stand still, or go on.
+    pub fn stop(&mut self, n: usize, stopped: bool) {
+        let member = &mut self.members[n];
+        if let Some(daemon) = &member.daemon {
+            daemon.signal(if stopped { "STOP" } else { "CONT" });
+        }
+        member.stopped = stopped;
+    }
+
+    /// Those that run, standing still or not.
+    pub fn live(&self) -> Vec<usize> {
+        (0..self.len()).filter(|&n| self.members[n].daemon.is_some()).collect()
+    }
+
+    /// Those that ended by themselves.
+    pub fn ended(&mut self) -> Vec<usize> {
+        let all = self.members.iter_mut().enumerate();
+        all.filter_map(|(n, member)| member.daemon.as_mut()?.ended().then_some(n)).collect()
+    }
+
+    /// The last lines of its log.
+    pub fn log(&self, n: usize) -> Vec<String> {
+        self.members[n].daemon.as_ref().map(Daemon::log).unwrap_or_default()
+    }
+
+    /// What it holds of the fleet, by its control socket; `None` if it does not answer.
+    pub fn shown(&self, n: usize) -> Option<Value> {
+        let member = &self.members[n];
+        if member.daemon.is_none() || member.stopped {
+            return None;
+        }
+        let stream = UnixStream::connect(&member.control).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        (&stream).write_all(b"show\n").ok()?;
+        let mut line = String::new();
+        BufReader::new(&stream).read_line(&mut line).ok()?;
+        serde_json::from_str(&line).ok()
+    }
+}
+
+impl Drop for Many {
+    fn drop(&mut self) {
+        self.members.iter_mut().for_each(|member| member.daemon = None);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Those who count as there in what was shown, the one that tells among them: their generations by name.
+pub fn there(shown: &Value) -> BTreeMap<String, u64> {
+    let of = |member: &Value| Some((member["name"].as_str()?.to_owned(), member["generation"].as_u64()?));
+    let members = shown["members"].as_array().into_iter().flatten();
+    let held = members.filter(|member| matches!(member["status"].as_str(), Some("alive" | "suspect")));
+    let own = (shown["standing"] == "in").then(|| of(&shown["me"])).flatten();
+    held.filter_map(of).chain(own).collect()
+}
--- a/crates/asterdale-rig/src/proofs/mod.rs
+++ b/crates/asterdale-rig/src/proofs/mod.rs
@@ -1,6 +1,7 @@
 //! Proofs: real daemons on loopback, load and faults drawn from a seed, and an oracle that shares no code with
 //! what it checks. Counts and rules give the verdict, never a time.
 
+pub mod fleet;
 pub mod rotation;
 pub mod upgrade;
 
--- /dev/null
+++ b/crates/asterdale-rig/src/relays.rs
@@ -0,0 +1,260 @@
+//! Relays between the processes of a fleet: each process is reached at a relay's address, and what passes from one to
+//! another is found by the sender's own socket (datagrams) or by the name that it says first (streams). Per ordered
+//! pair: loss, delay with spread, doubling, cut; what came earlier can be sent again. One thread carries all
+//! datagrams, and a short one each stream.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Token};
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Datagrams of each process that are kept, to be sent again.
+const KEPT: usize = 64;
+
+/// What holds on the way from one process to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// Nothing passes.
+    pub cut: bool,
+    /// A datagram is lost with this chance.
+    pub loss: f64,
+    /// And doubled with this one.
+    pub doubled: f64,
+    /// All take so many milliseconds,
+    pub delay_ms: f64,
+    /// and up to so many more, each its own: they pass each other.
+    pub spread_ms: f64,
+}
+
+struct State {
+    ways: HashMap<(usize, usize), Way>,
+    random: Pcg64Mcg,
+    /// The last datagrams of each process, and to whom.
+    kept: HashMap<usize, VecDeque<(usize, Vec<u8>)>>,
+    again: Vec<(usize, Vec<u8>)>,
+}
+
+/// The relays of a fleet.
+pub struct Relays {
+    state: Arc<Mutex<State>>,
+    /// Where each process is reached.
+    pub advertised: Vec<SocketAddr>,
+    passed: Arc<AtomicU64>,
+    end: Arc<AtomicBool>,
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Due(Instant, u64, usize, Vec<u8>);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+impl Relays {
+    /// Relays to processes that listen at these addresses, under these names.
+    pub fn begin(listens: Vec<SocketAddr>, names: Vec<String>, seed: u64) -> io::Result<Relays> {
+        let (mut sockets, mut listeners) = (Vec::new(), Vec::new());
+        for listen in &listens {
+            // The same port for both, on the process's own loopback address.
+            let (udp, tcp) = (1..100)
+                .find_map(|n| {
+                    let at = SocketAddr::new(listen.ip(), listen.port() + n);
+                    Some((UdpSocket::bind(at).ok()?, TcpListener::bind(at).ok()?))
+                })
+                .ok_or(io::ErrorKind::AddrInUse)?;
+            udp.set_nonblocking(true)?;
+            sockets.push(udp);
+            listeners.push(tcp);
+        }
+        let advertised = sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>()?;
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        let state = State { ways: HashMap::new(), random, kept: HashMap::new(), again: Vec::new() };
+        let (state, end) = (Arc::new(Mutex::new(state)), Arc::new(AtomicBool::new(false)));
+        let passed = Arc::new(AtomicU64::new(0));
+        for (to, listener) in listeners.into_iter().enumerate() {
+            let (state, at, names) = (state.clone(), listens[to], names.clone());
+            thread::spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    let (state, names) = (state.clone(), names.clone());
+                    thread::spawn(move || drop(carry(&stream, to, at, &names, &state)));
+                }
+            });
+        }
+        let (carried, ended, counted) = (state.clone(), end.clone(), passed.clone());
+        thread::spawn(move || drop(datagrams(&sockets, &listens, &carried, &ended, &counted)));
+        Ok(Relays { state, advertised, passed, end })
+    }
+
+    /// From now on this holds from one to the other.
+    pub fn set(&self, from: usize, to: usize, way: Way) {
+        lock(&self.state).ways.insert((from, to), way);
+    }
+
+    /// Nothing but the best holds anywhere.
+    pub fn heal(&self) {
+        lock(&self.state).ways.clear();
+    }
+
+    /// What this process said last is said once more, to whom it was said.
+    pub fn again(&self, from: usize) -> usize {
+        let mut state = lock(&self.state);
+        let kept: Vec<_> = state.kept.get(&from).cloned().unwrap_or_default().into();
+        let count = kept.len();
+        state.again.extend(kept);
+        count
+    }
+
+    /// What is kept of this process, taken away: of its earlier life, say.
+    pub fn kept(&self, from: usize) -> Vec<(usize, Vec<u8>)> {
+        lock(&self.state).kept.remove(&from).unwrap_or_default().into()
+    }
+
+    /// These are said once more.
+    pub fn say(&self, all: Vec<(usize, Vec<u8>)>) {
+        lock(&self.state).again.extend(all);
+    }
+
+    /// Datagrams that were passed on.
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Relays {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Carries datagrams until the end.
+fn datagrams(
+    sockets: &[UdpSocket],
+    listens: &[SocketAddr],
+    state: &Mutex<State>,
+    end: &AtomicBool,
+    passed: &AtomicU64,
+) -> io::Result<()> {
+    let mut poll = Poll::new()?;
+    for (n, socket) in sockets.iter().enumerate() {
+        poll.registry().register(&mut SourceFd(&socket.as_raw_fd()), Token(n), Interest::READABLE)?;
+    }
+    let mut events = Events::with_capacity(256);
+    let (mut queue, mut came) = (BinaryHeap::<Reverse<Due>>::new(), 0);
+    let mut bytes = vec![0; 65_536];
+    while !end.load(Ordering::SeqCst) {
+        let next = queue.peek().map(|Reverse(due)| due.0.saturating_duration_since(Instant::now()));
+        let wait = next.unwrap_or(Duration::from_millis(5)).min(Duration::from_millis(5));
+        let _ = poll.poll(&mut events, Some(wait));
+        for event in &events {
+            let to = event.token().0;
+            while let Ok((count, source)) = sockets[to].recv_from(&mut bytes) {
+                let Some(from) = listens.iter().position(|&listen| listen == source) else { continue };
+                let mut state = lock(state);
+                let kept = state.kept.entry(from).or_default();
+                kept.push_back((to, bytes[..count].to_vec()));
+                if kept.len() > KEPT {
+                    kept.pop_front();
+                }
+                let way = state.ways.get(&(from, to)).copied().unwrap_or_default();
+                let mut share = || (state.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+                if way.cut || share() < way.loss {
+                    continue;
+                }
+                for _ in 0..1 + usize::from(share() < way.doubled) {
+                    let ms = way.delay_ms + way.spread_ms * share();
+                    came += 1;
+                    let at = Instant::now() + Duration::from_secs_f64(ms / 1e3);
+                    queue.push(Reverse(Due(at, came, to, bytes[..count].to_vec())));
+                }
+            }
+        }
+        for (to, bytes) in std::mem::take(&mut lock(state).again) {
+            came += 1;
+            queue.push(Reverse(Due(Instant::now(), came, to, bytes)));
+        }
+        while queue.peek().is_some_and(|Reverse(due)| due.0 <= Instant::now()) {
+            let Some(Reverse(Due(_, _, to, bytes))) = queue.pop() else { break };
+            // From the relay's own socket: nobody answers to where a message came from.
+            let _ = sockets[to].send_to(&bytes, listens[to]);
+            passed.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+    Ok(())
+}
+
+/// The name that a stream's first message says: behind its length, version and check come the sender's record and in
+/// it the name, each behind a tag and a length.
+fn sender(bytes: &[u8]) -> Option<&str> {
+    let record = bytes.get(4 + 17..)?;
+    let at = if *record.get(1)? < 0x80 { 2 } else { 3 };
+    let (tag, length) = (*record.get(at)?, usize::from(*record.get(at + 1)?));
+    (record[0] == 0x0a && tag == 0x0a).then_some(())?;
+    std::str::from_utf8(record.get(at + 2..at + 2 + length)?).ok()
+}
+
+/// Carries a stream both ways, where neither is cut; one that is says nothing until the other gives up.
+fn carry(
+    from: &TcpStream,
+    to: usize,
+    at: SocketAddr,
+    names: &[String],
+    state: &Mutex<State>,
+) -> io::Result<()> {
+    const LONGEST: Duration = Duration::from_secs(4);
+    from.set_read_timeout(Some(LONGEST))?;
+    let (mut first, mut chunk) = (Vec::new(), [0; 4096]);
+    while first.len() < 128 {
+        match (&mut &*from).read(&mut chunk)? {
+            0 => return Ok(()),
+            count => first.extend_from_slice(&chunk[..count]),
+        }
+    }
+    let Some(who) = sender(&first).and_then(|name| names.iter().position(|known| known == name)) else {
+        return Ok(());
+    };
+    let ways = |a, b| lock(state).ways.get(&(a, b)).copied().unwrap_or_default();
+    let (there, back) = (ways(who, to), ways(to, who));
+    if there.cut || back.cut {
+        thread::sleep(LONGEST);
+        return Ok(());
+    }
+    thread::sleep(Duration::from_secs_f64((there.delay_ms + back.delay_ms) / 1e3));
+    let on = TcpStream::connect_timeout(&at, LONGEST)?;
+    on.set_read_timeout(Some(LONGEST))?;
+    (&on).write_all(&first)?;
+    let (reading, writing) = (from.try_clone()?, on.try_clone()?);
+    thread::spawn(move || {
+        let _ = io::copy(&mut &reading, &mut &writing);
+        let _ = writing.shutdown(Shutdown::Write);
+    });
+    let copied = io::copy(&mut &on, &mut &*from);
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = on.shutdown(Shutdown::Both);
+    copied.map(drop)
+}
--- /dev/null
+++ b/crates/asterdale-talk/src/lib.rs
@@ -0,0 +1,146 @@
+//! The talk between the processes of a fleet, on real sockets: UDP for probes and news, TCP for exchanges of whole
+//! views. Who is there is decided by `asterdale-members`, which this drives: it owns the sockets, the clock and the
+//! threads, and decides nothing. All answers go to the addresses that the others advertise, never to where a message
+//! came from, so that a fleet works behind translated addresses.
+//!
+//! Three threads: [`actor`] owns the state machine; one reads datagrams; one ([`exchanges`]) waits for all streams
+//! together. A fourth ([`control`]) where there is a control socket.
+
+pub mod actor;
+pub mod control;
+mod exchanges;
+pub mod shown;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use asterdale_members::{Event, Fleet, Notes, Start};
+use crossbeam_channel::{bounded, Sender};
+
+use actor::{Actor, Mail};
+use shown::Shown;
+
+/// Mail that waits for the state machine. A datagram that finds no place is dropped, as on any full way.
+const WAITING: usize = 4096;
+/// Of threads that keep their buffers on the heap.
+const STACK: usize = 256 * 1024;
+/// How long whoever asks waits for a word of the state machine.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Where a process talks.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Where it listens, over UDP and TCP.
+    pub listen: SocketAddr,
+    /// Path of its control socket, if it has one.
+    pub control: Option<PathBuf>,
+    /// What it tells the others of itself; its address there is the one that they reach it at.
+    pub start: Start,
+}
+
+/// What is known of the fleet at any moment, for whoever decides with it. A hint: it may be old or wrong.
+#[derive(Debug, Default)]
+pub struct Summary {
+    /// Members that are there, this one among them; 0 before it is one.
+    there: AtomicU32,
+    /// Those of them that take work and are warm.
+    warm: AtomicU32,
+    /// 1 where this one is.
+    own: AtomicU32,
+    /// 1 where more than half of the fleet is heard.
+    certain: AtomicU32,
+    /// Its own generation.
+    generation: AtomicU64,
+}
+
+impl Summary {
+    /// Members that are there, this one among them; 0 where that is not known, or known to a minority alone.
+    pub fn there(&self) -> u32 {
+        if self.certain.load(Ordering::Relaxed) == 1 {
+            self.there.load(Ordering::Relaxed)
+        } else {
+            0
+        }
+    }
+
+    /// Those of them that take work and are warm.
+    pub fn warm(&self) -> u32 {
+        self.warm.load(Ordering::Relaxed).min(self.there())
+    }
+
+    /// This process is among those.
+    pub fn is_warm(&self) -> bool {
+        self.own.load(Ordering::Relaxed) == 1
+    }
+
+    /// The generation that this process has.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Relaxed)
+    }
+}
+
+/// The talk, as others hold it.
+#[derive(Clone)]
+pub struct Talk {
+    mail: Sender<Mail>,
+    /// What is known of the fleet.
+    pub summary: Arc<Summary>,
+}
+
+impl Talk {
+    /// What this process says of itself from now on.
+    pub fn note(&self, notes: Notes) {
+        let _ = self.mail.try_send(Mail::Note(notes));
+    }
+
+    /// All that is held, for people and tools.
+    pub fn shown(&self) -> Option<Shown> {
+        let (to, shown) = bounded(1);
+        self.mail.send_timeout(Mail::Show(to), PATIENCE).ok()?;
+        shown.recv_timeout(PATIENCE).ok()
+    }
+
+    /// Leaves the fleet; comes back once that has been said.
+    pub fn leave(&self) -> bool {
+        let (over, left) = bounded(1);
+        self.mail.send_timeout(Mail::Leave(over), PATIENCE).is_ok() && left.recv_timeout(PATIENCE).is_ok()
+    }
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.to_owned()).stack_size(STACK).spawn(work).map(drop)
+}
+
+/// Begins to talk. `heard` is called with each event, in order, by the thread of the state machine: it must not wait.
+pub fn begin(place: Place, heard: impl Fn(&Event) + Send + 'static) -> io::Result<Talk> {
+    let socket = Arc::new(UdpSocket::bind(place.listen)?);
+    let listener = TcpListener::bind(place.listen)?;
+    let began = Instant::now();
+    let (mail, mailbox) = bounded(WAITING);
+    let summary = Arc::new(Summary::default());
+    let dropped = Arc::new(AtomicU64::new(0));
+    let exchanges = exchanges::begin(listener, mail.clone())?;
+    let control = place.control.as_deref().map(control::bind).transpose()?;
+    let talk = Talk { mail: mail.clone(), summary: summary.clone() };
+    let actor = Actor {
+        fleet: Fleet::new(0.0, place.start),
+        began,
+        socket: socket.clone(),
+        exchanges,
+        summary,
+        dropped: dropped.clone(),
+        left: None,
+    };
+    spawn("talk", move || actor.serve(&mailbox, heard))?;
+    spawn("talk in", move || actor::datagrams(&socket, &mail, &dropped))?;
+    if let Some((socket, path)) = control {
+        let asked = talk.clone();
+        spawn("talk control", move || control::serve(&socket, &path, &asked))?;
+    }
+    Ok(talk)
+}
--- /dev/null
+++ b/crates/asterdale-talk/src/shown.rs
@@ -0,0 +1,151 @@
+//! What is held of the fleet, for people and tools: the JSON that the control socket tells.
+
+use std::collections::BTreeMap;
+
+use asterdale_members::{Fleet, Phase, Record, Status};
+use serde::{Deserialize, Serialize};
+
+/// A process, as it is held.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where the others reach it.
+    pub at: String,
+    /// Which process under this name.
+    pub generation: u64,
+    /// Which of its words.
+    pub incarnation: u32,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub status: String,
+    /// For so many milliseconds.
+    pub for_ms: u64,
+    /// By whose word.
+    pub by: String,
+    /// Since anything came from itself; absent where nothing ever did.
+    pub heard_ms: Option<u64>,
+    /// `cold`, `ready`, `full` or `leaving`, by its own word.
+    pub phase: String,
+    /// Busy part of its cores, in hundredths.
+    pub load: u8,
+    /// How warm it is, in hundredths.
+    pub warm: u8,
+}
+
+/// The whole.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    /// The process that tells.
+    pub me: Member,
+    /// How it stands to the fleet: `joining`, `in`, `fallen`, `doubled`, `leaving` or `ended`.
+    pub standing: String,
+    /// It hears more than half of the fleet.
+    pub certain: bool,
+    /// The part of the fleet, as it was last whole, that counts as there.
+    pub part: f64,
+    /// Two that hold the same members tell the same.
+    pub hash: String,
+    /// The others.
+    pub members: Vec<Member>,
+    /// Counts.
+    pub counts: BTreeMap<String, u64>,
+}
+
+fn status(status: Status) -> &'static str {
+    match status {
+        Status::Alive => "alive",
+        Status::Suspect => "suspect",
+        Status::Dead => "dead",
+        Status::Left => "left",
+    }
+}
+
+/// A phase, in a word.
+pub fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Cold => "cold",
+        Phase::Ready => "ready",
+        Phase::Full => "full",
+        Phase::Leaving => "leaving",
+    }
+}
+
+fn member(record: &Record, for_ms: f64, heard_ms: f64) -> Member {
+    Member {
+        name: record.name.clone(),
+        at: record.at.to_string(),
+        generation: record.generation,
+        incarnation: record.incarnation,
+        status: status(record.status).to_owned(),
+        for_ms: for_ms.max(0.0) as u64,
+        by: record.by.clone(),
+        heard_ms: heard_ms.is_finite().then(|| heard_ms.max(0.0) as u64),
+        phase: phase(record.notes.phase).to_owned(),
+        load: record.notes.load,
+        warm: record.notes.warm,
+    }
+}
+
+impl Shown {
+    /// What this process holds now; so many datagrams found no place.
+    pub fn of(fleet: &Fleet, now: f64, dropped: u64) -> Shown {
+        let others = fleet.view().iter();
+        let mut counts: BTreeMap<String, u64> =
+            fleet.counts.all().into_iter().map(|(name, n)| (name.to_owned(), n)).collect();
+        counts.insert("dropped".to_owned(), dropped);
+        Shown {
+            me: member(fleet.me(), now, 0.0),
+            standing: fleet.standing().to_owned(),
+            certain: fleet.is_certain(now),
+            part: (fleet.part() * 1e3).round() / 1e3,
+            hash: format!("{:016x}", fleet.hash()),
+            members: others.map(|seen| member(&seen.record, now - seen.since, now - seen.heard)).collect(),
+            counts,
+        }
+    }
+
+    /// Those who count as there, this process among them: name and generation, in order.
+    pub fn there(&self) -> BTreeMap<String, u64> {
+        let others = self.members.iter().filter(|member| ["alive", "suspect"].contains(&&*member.status));
+        let mut all: BTreeMap<String, u64> = others.map(|m| (m.name.clone(), m.generation)).collect();
+        if self.standing == "in" {
+            all.insert(self.me.name.clone(), self.me.generation);
+        }
+        all
+    }
+
+    /// A table for people.
+    pub fn table(&self) -> String {
+        let seconds = |ms: u64| format!("{:.1}", ms as f64 / 1e3);
+        let mut lines = vec![
+            format!(
+                "{} is {}, generation {}, hears {:.0}% of the fleet{}; view {}",
+                self.me.name,
+                self.standing,
+                self.me.generation,
+                self.part * 100.0,
+                if self.certain { "" } else { " and is not certain of it" },
+                self.hash
+            ),
+            format!(
+                "{:<16} {:<21} {:>10} {:<8} {:>9} {:<16} {:<8} {:>4} {:>4}",
+                "name", "at", "generation", "status", "for s", "by", "phase", "load", "warm"
+            ),
+        ];
+        for m in std::iter::once(&self.me).chain(&self.members) {
+            lines.push(format!(
+                "{:<16} {:<21} {:>10} {:<8} {:>9} {:<16} {:<8} {:>4} {:>4}",
+                m.name,
+                m.at,
+                m.generation,
+                m.status,
+                seconds(m.for_ms),
+                m.by,
+                m.phase,
+                m.load,
+                m.warm
+            ));
+        }
+        lines.join("\n")
+    }
+}
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -202,7 +202,7 @@
     /// comes to this server, is worth little, and no task says which it is.
     fn in_share(&self, customer: &Customer) -> f64 {
         let rate = customer.read.total() / (WINDOWS as f64 * UPDATE / 1000.0);
-        let due = customer.facts.allowance_per_s / self.told.servers.max(1.0);
+        let due = customer.facts.allowance_per_s / self.servers().max(1.0);
         if rate <= due {
             return 1.0;
         }
@@ -424,8 +424,21 @@
         // Where no credit steers callers, the stay has to: a long one moves work to those with room (four
         // would drown in it). Else it is as long as rejections are many: no cores lie idle.
         let moves = ours && self.told.free_value != FreeValue::Credit;
-        let part = if moves { 1.0 - 4.0 / self.told.servers.max(4.0) } else { 0.0 };
-        (!ours, (share.max(part) * stay).max(most.min(BEAT)))
+        let part = if moves { 1.0 - 4.0 / self.servers().max(4.0) } else { 0.0 };
+        // Where a view of the fleet says that nobody else takes work and is warm, going elsewhere helps nobody.
+        let nobody = self.others.is_some_and(|(_, warm)| warm < 1.0);
+        (!ours || nobody, (share.max(part) * stay).max(most.min(BEAT)))
+    }
+
+    /// Servers of this tier: by the view of the fleet where there is one, else as they were at the start.
+    fn servers(&self) -> f64 {
+        self.others.map_or(self.told.servers, |(there, _)| there + 1.0)
+    }
+
+    /// So many others are there, and so many of them take work and are warm; `None` where nothing is known of that.
+    /// A hint: it may be old or wrong, and bends what is advised and whose share is what, never what may run.
+    pub fn fleet(&mut self, others: Option<(f64, f64)>) {
+        self.others = others;
     }
 
     // ---- Time ----
--- a/crates/asterdale/src/decide/tests.rs
+++ b/crates/asterdale/src/decide/tests.rs
@@ -398,6 +398,27 @@
     }
 }
 
+#[test]
+fn a_view_of_the_fleet_says_how_many_share_and_whether_elsewhere_helps() {
+    let mut s =
+        server(Told { customers: vec![crate::told::CustomerFacts { allowance_per_s: 100.0 }], ..told() });
+    // 10 a second came here, of which 100 / 20 servers are its share; with ten there it is all.
+    s.customers[0].read.add(40.0);
+    assert!(s.in_share(&s.customers[0]) < 1.0);
+    s.fleet(Some((9.0, 9.0)));
+    assert_eq!(s.in_share(&s.customers[0]), 1.0);
+    assert!(!s.advice().0);
+    // A view without a warm server besides this one: the next would turn it away, or be pushed over.
+    s.fleet(Some((9.0, 0.0)));
+    assert!(s.advice().0);
+    // Alone, there is nobody to move work to.
+    s.fleet(Some((0.0, 0.0)));
+    assert!(s.advice().0 && s.advice().1 <= BEAT);
+    // Nothing known: as at the start.
+    s.fleet(None);
+    assert!(!s.advice().0 && s.in_share(&s.customers[0]) < 1.0);
+}
+
 #[test]
 fn spoilt_replies_and_one_that_never_comes_leave_the_calls_of_others_alone() {
     let shared = Told { below: Below::Shared, calls_share: 10.0, ..told() };
--- a/crates/asterdale/src/state.rs
+++ b/crates/asterdale/src/state.rs
@@ -182,6 +182,10 @@
     pub(crate) rejected: Ring,
     /// Since the last update.
     pub(crate) turned_away: u32,
+    /// Other servers that are there, and those of them that take work and are warm, where a view of the fleet
+    /// tells. It is another process's word, and not passed on.
+    #[cfg_attr(feature = "snapshot", serde(skip))]
+    pub(crate) others: Option<(f64, f64)>,
 }
 
 impl Server {
@@ -240,6 +244,7 @@
             idle: told.idle_ms,
             rejected: Ring::default(),
             turned_away: 0,
+            others: None,
             told,
         }
     }
