The engine imports nothing in a circle; the view of the fleet at sizes sockets don't reach

Need: the talk between processes is the first new actor of an engine whose files named each other in circles. The smaller circles go the same way (decide and machine, cache and verdict, chance and edge).

--- a/crates/asterdale-daemon/src/start/mod.rs
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -515,6 +515,35 @@
         assert_eq!(broken[0].path, "start file");
     }
 
+    #[cfg(feature = "fleet")]
+    #[test]
+    fn a_fleet_is_told_whole_or_each_fault_by_its_path() {
+        let key = std::env::temp_dir().join(format!("asterdale-start-{}", std::process::id()));
+        std::fs::write(&key, "sixteen bytes ok\n").unwrap();
+        let mut all = whole();
+        all["fleet"] = json!({"listen": "127.0.0.1:7000", "seeds": ["10.0.0.1:7000"], "key": key});
+        let fleet = read(all.to_string().as_bytes(), None, None).unwrap().fleet.unwrap();
+        assert_eq!((fleet.listen, fleet.interval_ms), (fleet.advertise, 1000.0));
+        assert_eq!(fleet.key, b"sixteen bytes ok");
+        for (field, value, path) in [
+            ("listen", json!("here"), "fleet.listen"),
+            ("listen", json!("0.0.0.0:7000"), "fleet.advertise"),
+            ("seeds", json!(["one"]), "fleet.seeds[0]"),
+            ("interval_ms", json!(1), "fleet.interval_ms"),
+            ("key", json!("/nowhere"), "fleet.key"),
+            ("keys", json!("x"), "fleet.keys"),
+        ] {
+            let mut wrong = all.clone();
+            wrong["fleet"][field] = value;
+            assert_eq!(paths(&wrong), [path], "{wrong}");
+        }
+        std::fs::write(&key, "short").unwrap();
+        assert_eq!(paths(&all), ["fleet.key"]);
+        all["upgrade"] = json!({"control": "/c"});
+        assert_eq!(paths(&all), ["fleet.key", "fleet"]);
+        std::fs::remove_file(key).unwrap();
+    }
+
     #[test]
     fn all_faults_are_told_at_once_and_unknown_keys_only_where_they_are_ours() {
         let mut all = with_callers();
--- a/crates/asterdale-fleet/src/chance.rs
+++ b/crates/asterdale-fleet/src/chance.rs
@@ -4,7 +4,12 @@
 use rand_pcg::rand_core::Rng;
 use rand_pcg::Pcg64;
 
-use crate::edge::hash;
+/// A hash that is the same everywhere: SplitMix64's finish.
+pub fn hash(mut n: u64) -> u64 {
+    n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
 
 /// A stream of chance.
 pub struct Chance(Pcg64);
--- a/crates/asterdale-fleet/src/edge.rs
+++ b/crates/asterdale-fleet/src/edge.rs
@@ -1,7 +1,7 @@
 //! Edge nodes: how one picks a server, and what it does when a try was turned away or broke. Nothing here knows
 //! what goes on inside the servers.
 
-use crate::chance::Chance;
+use crate::chance::{hash, Chance};
 use crate::experiment::{Edges, Pick, Retry};
 use crate::Nanos;
 
@@ -10,13 +10,6 @@
 /// So many draws are made for a server that can be had; then all are looked through.
 const DRAWS: usize = 8;
 
-/// A hash that is the same everywhere: SplitMix64's finish.
-pub fn hash(mut n: u64) -> u64 {
-    n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    n ^ (n >> 31)
-}
-
 /// The ring that all edge nodes share.
 pub struct Ring(Vec<(u64, u32)>);
 
--- a/crates/asterdale-fleet/src/lib.rs
+++ b/crates/asterdale-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod edge;
 pub mod experiment;
 pub mod machine;
+pub mod members;
 pub mod oracle;
 pub mod queue;
 pub mod result;
--- a/crates/asterdale-fleet/src/main.rs
+++ b/crates/asterdale-fleet/src/main.rs
@@ -5,9 +5,10 @@
 use std::time::Instant;
 
 use asterdale_fleet::experiment::{self, Experiment, Policy};
+use asterdale_fleet::members::{self, Fault, Figures, Play};
 use asterdale_fleet::result::Outcome;
 use asterdale_fleet::world::play;
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use rayon::prelude::*;
 use serde_json::json;
 
@@ -43,10 +44,54 @@
         #[arg(long, default_value_t = 3)]
         repeats: u64,
     },
+    /// Play the view of the fleet, each size and fault with several seeds; a line of JSON for each play
+    Members {
+        /// How many members, one size after the other
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 1000])]
+        members: Vec<usize>,
+        /// What befalls them
+        #[arg(long, value_enum, value_delimiter = ',', default_values_t = [Befalls::Crash])]
+        faults: Vec<Befalls>,
+        /// For so many seconds
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// A datagram is lost with this chance
+        #[arg(long, default_value_t = 0.01)]
+        loss: f64,
+        /// Suspicions last the least from the start, as in SWIM alone
+        #[arg(long)]
+        plain: bool,
+        /// So many seeds
+        #[arg(long, default_value_t = 5)]
+        repeats: u64,
+        /// Plot the time to detection over the size, with the published bounds, into this file (SVG)
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
     /// Print the JSON Schema of an experiment's file
     Schema,
 }
 
+/// What befalls a fleet.
+#[derive(Clone, Copy, ValueEnum)]
+enum Befalls {
+    /// Nothing
+    None,
+    /// One dies
+    Crash,
+    /// A tenth stands still again and again
+    Stutter,
+    /// Two halves are parted for longer than any suspicion lasts
+    Halves,
+}
+
+impl std::fmt::Display for Befalls {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let value = self.to_possible_value();
+        f.write_str(value.as_ref().map_or("", |value| value.get_name()))
+    }
+}
+
 fn read(file: &PathBuf) -> Result<Experiment, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     experiment::read(&text).map_err(|wrong| wrong.join("\n"))
@@ -110,10 +155,89 @@
     Ok(())
 }
 
+/// Detection over the size: what was modelled, and the published bounds.
+fn plot(file: &PathBuf, all: &[Figures]) -> Result<(), Box<dyn std::error::Error>> {
+    use plotters::prelude::*;
+    let sizes: Vec<usize> = {
+        let mut sizes: Vec<usize> = all.iter().map(|figures| figures.members).collect();
+        sizes.sort_unstable();
+        sizes.dedup();
+        sizes
+    };
+    let (Some(&least), Some(&most)) = (sizes.first(), sizes.last()) else { return Ok(()) };
+    let highest = members::published_ms(most).1 / 1e3 * 1.3;
+    let area = SVGBackend::new(file, (900, 560)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Seconds until a dead member is held for dead", ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d((least as f64 * 0.8..most as f64 * 1.25).log_scale(), 0.0..highest)?;
+    chart.configure_mesh().x_desc("members").y_desc("seconds").draw()?;
+    let line = |of: &dyn Fn((f64, f64, f64)) -> f64| -> Vec<(f64, f64)> {
+        sizes.iter().map(|&n| (n as f64, of(members::published_ms(n)) / 1e3)).collect()
+    };
+    chart
+        .draw_series(LineSeries::new(line(&|(least, ..)| least), &BLUE))?
+        .label("bound, suspicion confirmed at once")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 20, y)], BLUE));
+    chart
+        .draw_series(LineSeries::new(line(&|(_, most, spread)| most + spread), &RED))?
+        .label("bound, never confirmed, and the news' rides")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 20, y)], RED));
+    let points = |of: &dyn Fn(&Figures) -> Option<f64>| -> Vec<(f64, f64)> {
+        all.iter().filter_map(|figures| Some((figures.members as f64, of(figures)? / 1e3))).collect()
+    };
+    chart
+        .draw_series(points(&|f| f.first_ms).into_iter().map(|at| Circle::new(at, 3, BLACK.filled())))?
+        .label("the first holds it for dead")
+        .legend(|(x, y)| Circle::new((x + 10, y), 3, BLACK.filled()));
+    chart
+        .draw_series(points(&|f| f.all_ms).into_iter().map(|at| TriangleMarker::new(at, 5, GREEN.filled())))?
+        .label("all do")
+        .legend(|(x, y)| TriangleMarker::new((x + 10, y), 5, GREEN.filled()));
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn view(
+    sizes: &[usize],
+    faults: &[Befalls],
+    told: &Play,
+    repeats: u64,
+    file: Option<&PathBuf>,
+) -> Result<(), String> {
+    let mut all = Vec::new();
+    for &members in sizes {
+        for fault in faults {
+            let fault = match fault {
+                Befalls::None => Fault::None,
+                Befalls::Crash => Fault::Crash,
+                Befalls::Stutter => Fault::Stutter,
+                Befalls::Halves => Fault::Halves,
+            };
+            let told = Play { members: members.clamp(2, 20_000), fault, ..told.clone() };
+            let figures = members::repeat(&told, 1..repeats + 1);
+            figures.iter().for_each(|figures| println!("{}", json!(figures)));
+            all.extend(figures);
+        }
+    }
+    match file {
+        Some(file) => plot(file, &all).map_err(|e| format!("{}: {e}", file.display())),
+        None => Ok(()),
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Run { file, seed, repeats, brief } => run(&file, seed, repeats.clamp(1, 10_000), brief),
         Command::Policies { file, repeats } => policies(&file, repeats.clamp(1, 1000)),
+        Command::Members { members, faults, seconds, loss, plain, repeats, plot } => {
+            let told = Play { members: 0, fault: Fault::None, seconds, loss: loss.clamp(0.0, 1.0), plain };
+            view(&members, &faults, &told, repeats.clamp(1, 1000), plot.as_ref())
+        }
         Command::Schema => {
             let schema = schemars::schema_for!(Experiment);
             serde_json::to_string_pretty(&schema).map(|text| println!("{text}")).map_err(|e| e.to_string())
--- a/crates/asterdale-host/src/callers.rs
+++ b/crates/asterdale-host/src/callers.rs
@@ -4,26 +4,23 @@
 use std::sync::Arc;
 
 use asterdale_identity::keyring::Offered;
-use asterdale_identity::planted::{self, Fault};
 use asterdale_identity::rights::Denied;
-use asterdale_identity::{Ask, Caller, Facts, Identity, Kind as Said, Seat, Why};
+use asterdale_identity::{Caller, Facts, Identity, Kind as Said, Seat, Why};
 use crossbeam_channel::Sender;
 
 use crate::counters::Counters;
-use crate::issuer::Nudge;
 use crate::log::{Kind, Log};
-use crate::mail::{text, Id, Mark, Reply, Serial};
-use crate::tasks::{Slot, Tasks};
+use crate::mail::{Nudge, Reply};
 
 /// Advice to a caller that can't be judged now, in milliseconds: about when a set may have come.
 const AGAIN: f64 = 1000.0;
 
 /// The gate.
 pub struct Callers {
-    identity: Option<Identity>,
+    pub(crate) identity: Option<Identity>,
     counters: Arc<Counters>,
     /// Hears of keys that no set has held.
-    issuer: Option<Sender<Nudge>>,
+    pub(crate) issuer: Option<Sender<Nudge>>,
 }
 
 impl Callers {
@@ -124,7 +121,7 @@
         }
     }
 
-    fn reply(&self, denied: Denied) -> Reply {
+    pub(crate) fn reply(&self, denied: Denied) -> Reply {
         let kind = denied.why.kind();
         match kind {
             Said::Unknown => self.counters.callers_unknown.add(),
@@ -140,81 +137,3 @@
         Reply::Denied { kind, wait_ms: wait_ms as u64 }
     }
 }
-
-fn turned_away(log: &Log, id: &Id, stage: &str, tenant: &str, why: Why) {
-    static AWAY: Kind = Kind::new();
-    if log.may(&AWAY) {
-        slog::warn!(log.lines, "identity: a caller is turned away";
-            "id" => text(id), "stage" => stage, "tenant" => tenant, "why" => ?why);
-    }
-}
-
-impl Tasks {
-    /// The first gate: who is calling. The mark is the tenant's from then on. Nothing of the module is touched.
-    pub fn who(
-        &mut self,
-        ask: Ask<'_>,
-        (id, stage): (Id, usize),
-        mark: &mut Option<Mark>,
-    ) -> Result<Option<Arc<Caller>>, Reply> {
-        let now = self.now;
-        let Some(identity) = &mut self.callers.identity else { return Ok(None) };
-        match identity.identify(now, ask) {
-            Ok(caller) => {
-                if let Some(mark) = mark.as_mut().filter(|_| !planted::is(Fault::Mark)) {
-                    mark.tenant = caller.tenant;
-                }
-                Ok(Some(caller))
-            }
-            Err(denied) => {
-                if let (Why::KeyUnknown, Some(issuer)) = (denied.why, &self.callers.issuer) {
-                    let _ = issuer.try_send(Nudge::Wanted);
-                }
-                turned_away(&self.log, &id, &self.facts.stages[stage], "", denied.why);
-                let reply = self.callers.reply(denied);
-                // A caller that can't be judged is told that this try never ran. That is so; but of a key under
-                // which something has run, whoever's it is, nothing is said that could be taken for more.
-                let unable = denied.why.kind() == Said::Unable;
-                Err(if unable && self.known_somewhere(mark.as_ref(), ask.arrived_ms) {
-                    Reply::Abandoned
-                } else {
-                    reply
-                })
-            }
-        }
-    }
-
-    /// Whether any tenant's task is remembered under this mark.
-    fn known_somewhere(&self, mark: Option<&Mark>, arrived: f64) -> bool {
-        let (Some(mark), Some(identity)) = (mark, &self.callers.identity) else { return false };
-        (0..identity.rights().tenants())
-            .any(|tenant| self.fingerprints.knows(&Mark { tenant, ..mark.clone() }, arrived))
-    }
-
-    /// The second gate: whether this caller may have this task now.
-    pub fn may(
-        &mut self,
-        caller: Option<&Caller>,
-        (id, stage): (Id, usize),
-        hint_ms: Option<f64>,
-        repeat: bool,
-    ) -> Result<Option<Seat>, Reply> {
-        let (Some(identity), Some(caller)) = (&mut self.callers.identity, caller) else { return Ok(None) };
-        identity.permit(self.now, caller, stage, hint_ms, repeat).map_err(|denied| {
-            let tenant = &caller.claims.tenant;
-            turned_away(&self.log, &id, &self.facts.stages[stage], tenant, denied.why);
-            self.callers.reply(denied)
-        })
-    }
-
-    /// Tasks that wait for an answer, have not been started, and whose caller is revoked by now; with what to
-    /// tell him.
-    pub fn revoked(&self) -> Vec<(Serial, Reply)> {
-        let Some(identity) = &self.callers.identity else { return Vec::new() };
-        let revoked = |slot: &Slot| {
-            let caller = slot.caller.as_ref().filter(|_| slot.back.is_some() && !slot.started)?;
-            Some((slot.serial, self.callers.reply(identity.revoked(caller)?.into())))
-        };
-        self.slots.iter().flatten().filter_map(revoked).collect()
-    }
-}
--- a/crates/asterdale-host/src/issuer.rs
+++ b/crates/asterdale-host/src/issuer.rs
@@ -2,7 +2,7 @@
 //! to ask is decided by [`Refresh`]; whether a set counts, by the keyring.
 
 use std::io::{self, IoSlice};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,24 +18,7 @@
 /// No issuer is waited for longer: the last set serves meanwhile.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Where the set is fetched.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Place {
-    /// The issuer.
-    pub at: SocketAddr,
-    /// The path of the set.
-    pub path: String,
-    /// How often, in milliseconds.
-    pub every_ms: f64,
-}
-
-/// What the issuer's actor is told.
-pub enum Nudge {
-    /// A task carries a key that no set has held: there may be a newer one.
-    Wanted,
-    /// The set is to be fetched here from now on.
-    Move(Place),
-}
+pub use crate::mail::{Nudge, Place};
 
 /// Fetches until the mailbox closes.
 pub fn fetch(
--- /dev/null
+++ b/crates/asterdale-host/src/leaving.rs
@@ -0,0 +1,58 @@
+//! The notice to leave, and the way out.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::Receiver;
+
+use crate::host::Host;
+use crate::mail::{Mail, Word};
+
+/// For answers to get out and connections to end, before the process is killed: the module is told a notice
+/// that is shorter by this, or by a quarter of a very short one.
+const WAY_OUT_MS: f64 = 300.0;
+/// While leaving, connections that came last are let end after so long: a request crosses a close no longer.
+const HUSH: Duration = Duration::from_millis(50);
+
+impl Host {
+    pub(crate) fn leave(&mut self) {
+        if self.leave_by.is_some() {
+            return;
+        }
+        let left_ms = self.stop_ms - self.way_out_ms();
+        slog::info!(self.tasks.log.lines, "host: leaving"; "answers_within_ms" => left_ms);
+        self.leave_by = Some(Instant::now() + Duration::from_millis(left_ms as u64));
+        let _ = self.list.try_send(Word::Leave);
+        self.begin(false, 0.0);
+        if let Some(server) = &mut self.server {
+            server.leave(self.tasks.now, left_ms, &mut self.tasks);
+        }
+    }
+
+    /// After all that was read is answered: lets the connections end, and waits for them.
+    pub(crate) fn left(&mut self, mailbox: &Receiver<Mail>) -> bool {
+        self.tasks.fronts.close();
+        let last = Instant::now() + Duration::from_millis((0.8 * self.way_out_ms()) as u64);
+        let mut hush = Instant::now();
+        while self.tasks.fronts.open() > 0 && Instant::now() < last {
+            // Again and again: connections that were accepted last have had time to bring their request.
+            if Instant::now() >= hush {
+                self.tasks.fronts.hush();
+                hush += HUSH;
+            }
+            if let Ok(mail) = mailbox.recv_timeout(Duration::from_millis(2)) {
+                self.handle(mail);
+            }
+            self.tasks.now = self.clock.now();
+            if self.tasks.now >= self.tasks.wake_at {
+                self.beat();
+            }
+        }
+        let open = self.tasks.fronts.open();
+        slog::info!(self.tasks.log.lines, "host: left"; "connections" => open);
+        true
+    }
+
+    pub(crate) fn way_out_ms(&self) -> f64 {
+        WAY_OUT_MS.min(self.stop_ms / 4.0)
+    }
+}
--- a/crates/asterdale-host/src/lib.rs
+++ b/crates/asterdale-host/src/lib.rs
@@ -2,17 +2,25 @@
 //! runtime, the records service and the registry. Fronts bring tasks as [`mail::Mail`] and take answers as
 //! [`mail::Reply`]; which protocol they speak is theirs alone.
 //!
-//! Floors, from below: `mail` and what all share (`counters`, `log`, `gather`, `http`, `post`); the links (`runtime`,
-//! `records`, `registry`, `issuer`), the table of `fingerprints` and the gate of `callers`; `tasks`; `host`. None
-//! names one above it.
+//! Floors, from below: `mail` (plain data, which imports nothing of the engine) and what all share (`counters`, `log`,
+//! `clock`, `gather`, `http`, `post`); the links (`runtime`, `records`, `registry`, `issuer`), the table of `fingerprints`
+//! and `callers`; `tasks` and its `gate`; `host`, the module's actor; and what else that actor does, a file a concern:
+//! `below` (the runtime's word, calls, checks), `leaving`, `passing`. None names one above it.
 
+#[cfg(feature = "handover")]
+mod aside;
+mod below;
 mod callers;
+mod checks;
+mod clock;
 pub mod counters;
 mod fingerprints;
+mod gate;
 pub mod gather;
 pub mod host;
 pub mod http;
 pub mod issuer;
+mod leaving;
 pub mod log;
 pub mod mail;
 #[cfg(feature = "handover")]
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -192,7 +192,7 @@
     Retold(Peers, Option<Box<asterdale_identity::Facts>>),
     /// A step of a handover.
     #[cfg(feature = "handover")]
-    Handover(crate::passing::Step),
+    Handover(Step),
     /// The notice to leave.
     Leave,
     /// Print the counters.
@@ -309,3 +309,102 @@
     /// Nothing was started.
     Noop,
 }
+
+/// Where the set is fetched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The issuer.
+    pub at: SocketAddr,
+    /// The path of the set.
+    pub path: String,
+    /// How often, in milliseconds.
+    pub every_ms: f64,
+}
+
+/// What the issuer's actor is told.
+pub enum Nudge {
+    /// A task carries a key that no set has held: there may be a newer one.
+    Wanted,
+    /// The set is to be fetched here from now on.
+    Move(Place),
+}
+
+/// A step of a handover, as the host does it.
+#[cfg(feature = "handover")]
+pub enum Step {
+    /// Send a state to be tried; go on.
+    Try(Sender<Vec<u8>>),
+    /// Stop, and send the state.
+    Freeze(Sender<Vec<u8>>),
+    /// Go on: the work stays here.
+    Thaw,
+    /// The work is another's: carry what comes to it.
+    Give(Box<dyn Port>),
+    /// An answer to a request that was carried, or whose task passed.
+    Reply(Way, Reply),
+    /// What the other has started, remembered, ended.
+    Mirrored(Mirrored),
+    /// The other has ended: take the work back.
+    Resume,
+    /// Leave without a word, once the connections have ended: nobody needs a guardian any more.
+    Exit,
+    /// Nobody guards this process any more.
+    Alone,
+}
+
+/// The way to a successor.
+#[cfg(feature = "handover")]
+pub trait Port: Send {
+    /// A task has come. How long it may have lain unread is in its `since`.
+    fn task(&mut self, way: Way, request: &Request);
+    /// A health check has come.
+    fn check(&mut self, way: Way, deep: bool);
+    /// Nobody waits any more: for a request, or for any of a connection.
+    fn left(&mut self, connection: u64, request: Option<u16>);
+    /// A call that was made here has ended.
+    fn called(&mut self, who: Serial, outcome: Outcome, took_ms: f64, body: &[u8]);
+    /// All connections have ended and all windows have lapsed: nothing is guarded any more.
+    fn done(&mut self);
+}
+
+/// What a guardian is told, before it takes effect.
+#[cfg(feature = "handover")]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Mirrored {
+    /// A fingerprint is remembered.
+    Remembered {
+        /// The mark.
+        mark: Mark,
+        /// Its task, and what tells the body from others.
+        owner: (Serial, u64),
+        /// Until then, in the module's time.
+        until: f64,
+    },
+    /// A task that must not run twice is started.
+    Started {
+        /// Its id.
+        id: Id,
+        /// Its mark and its serial, where it has a mark.
+        mark: Option<(Mark, Serial)>,
+    },
+    /// A remembered task has ended.
+    Ended {
+        /// The mark.
+        mark: Mark,
+        /// Its task.
+        owner: Serial,
+        /// Its result, if there is one.
+        result: Option<Arc<[u8]>>,
+    },
+    /// A fingerprint is forgotten.
+    Forgotten {
+        /// The mark.
+        mark: Mark,
+        /// Its task.
+        owner: Serial,
+    },
+}
+
+/// Where what a guardian must know is told.
+#[cfg(feature = "handover")]
+pub type Mirror = Box<dyn FnMut(Mirrored) + Send>;
--- a/crates/asterdale-host/src/passing.rs
+++ b/crates/asterdale-host/src/passing.rs
@@ -12,9 +12,10 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use serde::{Deserialize, Serialize};
 
+use crate::aside::Guarding;
 use crate::fingerprints::Passed as Remembered;
 use crate::host::{Begin, Host};
-use crate::mail::{Client, Course, Id, Mail, Mark, Reply, Request, Serial, Way, Word};
+use crate::mail::{Client, Course, Id, Mail, Mark, Reply, Serial, Way, Word};
 use crate::runtime;
 use crate::tasks::{Sent, Slot, Tasks};
 
@@ -25,81 +26,7 @@
 /// A guardian stays for so long after the last window that it knows of, in milliseconds.
 const AFTER: f64 = 1000.0;
 
-/// A step of a handover, as the host does it.
-pub enum Step {
-    /// Send a state to be tried; go on.
-    Try(Sender<Vec<u8>>),
-    /// Stop, and send the state.
-    Freeze(Sender<Vec<u8>>),
-    /// Go on: the work stays here.
-    Thaw,
-    /// The work is another's: carry what comes to it.
-    Give(Box<dyn Port>),
-    /// An answer to a request that was carried, or whose task passed.
-    Reply(Way, Reply),
-    /// What the other has started, remembered, ended.
-    Mirrored(Mirrored),
-    /// The other has ended: take the work back.
-    Resume,
-    /// Leave without a word, once the connections have ended: nobody needs a guardian any more.
-    Exit,
-    /// Nobody guards this process any more.
-    Alone,
-}
-
-/// The way to a successor.
-pub trait Port: Send {
-    /// A task has come. How long it may have lain unread is in its `since`.
-    fn task(&mut self, way: Way, request: &Request);
-    /// A health check has come.
-    fn check(&mut self, way: Way, deep: bool);
-    /// Nobody waits any more: for a request, or for any of a connection.
-    fn left(&mut self, connection: u64, request: Option<u16>);
-    /// A call that was made here has ended.
-    fn called(&mut self, who: Serial, outcome: asterdale::told::Outcome, took_ms: f64, body: &[u8]);
-    /// All connections have ended and all windows have lapsed: nothing is guarded any more.
-    fn done(&mut self);
-}
-
-/// What a guardian is told, before it takes effect.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Mirrored {
-    /// A fingerprint is remembered.
-    Remembered {
-        /// The mark.
-        mark: Mark,
-        /// Its task, and what tells the body from others.
-        owner: (Serial, u64),
-        /// Until then, in the module's time.
-        until: f64,
-    },
-    /// A task that must not run twice is started.
-    Started {
-        /// Its id.
-        id: Id,
-        /// Its mark and its serial, where it has a mark.
-        mark: Option<(Mark, Serial)>,
-    },
-    /// A remembered task has ended.
-    Ended {
-        /// The mark.
-        mark: Mark,
-        /// Its task.
-        owner: Serial,
-        /// Its result, if there is one.
-        result: Option<Arc<[u8]>>,
-    },
-    /// A fingerprint is forgotten.
-    Forgotten {
-        /// The mark.
-        mark: Mark,
-        /// Its task.
-        owner: Serial,
-    },
-}
-
-/// Where what a guardian must know is told.
-pub type Mirror = Box<dyn FnMut(Mirrored) + Send>;
+pub use crate::mail::{Mirror, Mirrored, Port, Step};
 
 /// A task that passes.
 #[derive(Serialize, Deserialize)]
@@ -136,36 +63,6 @@
     stored: bool,
 }
 
-/// What a guardian knows beyond its own state.
-#[derive(Default)]
-struct Guarding {
-    /// Requests that were carried, and are not answered.
-    carried: HashMap<Way, Arc<dyn Client>>,
-    /// Tasks that the other has started.
-    elsewhere: HashMap<Id, Option<(Mark, Serial)>>,
-    /// The last window that it knows of ends then.
-    until: f64,
-    port: Option<Box<dyn Port>>,
-}
-
-/// What a host that has given its work away, or is about to, does with its mail.
-#[derive(Default)]
-pub struct Aside {
-    frozen: bool,
-    /// Mail that waits while it is not sure whose the work is.
-    kept: Vec<Mail>,
-    guarding: Option<Guarding>,
-    /// It is to leave.
-    gone: bool,
-}
-
-impl Aside {
-    /// Whether nothing may be decided here.
-    pub fn stands(&self) -> bool {
-        self.frozen || self.guarding.is_some()
-    }
-}
-
 /// Whether a host with so many stages could go on with this state.
 pub fn check_state(state: &[u8], stages: usize) -> Result<(), String> {
     let passed: Passed = rmp_serde::from_slice(state).map_err(|e| format!("the state: {e}"))?;
@@ -323,7 +220,7 @@
     fn freeze(&mut self, to: &Sender<Vec<u8>>, mailbox: &Receiver<Mail>) {
         let end = Instant::now() + PROOF;
         if self.tasks.link.commands.is_some() && !self.tasks.link.replaying {
-            self.tasks.send(runtime::ask("gauges", crate::host::LAST));
+            self.tasks.send(runtime::ask("gauges", crate::below::LAST));
         }
         self.tasks.link.replaying = true;
         while self.tasks.link.commands.is_some() {
--- a/crates/asterdale-host/src/tasks.rs
+++ b/crates/asterdale-host/src/tasks.rs
@@ -15,9 +15,9 @@
 use crate::counters::Counters;
 use crate::fingerprints::{Fate, Fingerprints};
 use crate::log::{Kind, Log};
-use crate::mail::{text, Call, Client, Fronts, Id, Mark, Reply, Serial, Way};
 #[cfg(feature = "handover")]
-use crate::passing::Mirrored;
+use crate::mail::Mirrored;
+use crate::mail::{text, Call, Client, Fronts, Id, Mark, Reply, Serial, Way};
 use crate::records::Records;
 use crate::runtime;
 
@@ -127,7 +127,7 @@
     pub not_started: VecDeque<Serial>,
     /// Hears of what must be known, should this process end.
     #[cfg(feature = "handover")]
-    pub mirror: Option<crate::passing::Mirror>,
+    pub mirror: Option<crate::mail::Mirror>,
     /// Tasks that another process has started, before this one took its work back.
     #[cfg(feature = "handover")]
     pub elsewhere: HashMap<Id, Option<(Mark, Serial)>>,
--- a/crates/asterdale-identity/src/cache.rs
+++ b/crates/asterdale-identity/src/cache.rs
@@ -7,8 +7,7 @@
 
 use sha2::{Digest as _, Sha512};
 
-use crate::verdict::Caller;
-use crate::Why;
+use crate::who::{Caller, Why};
 
 /// Of a token's text: the first half of a SHA-512 over a secret and the text.
 pub type Digest = [u8; 32];
--- a/crates/asterdale-identity/src/keyring.rs
+++ b/crates/asterdale-identity/src/keyring.rs
@@ -21,7 +21,7 @@
 
 use crate::planted::{self, Fault};
 use crate::token::{document, Claims, MOST_NAME};
-use crate::Why;
+use crate::who::Why;
 
 /// `typ` in the head of a set.
 pub const TYPE: &str = "asterdale-keys+jws";
--- a/crates/asterdale-identity/src/lib.rs
+++ b/crates/asterdale-identity/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod rights;
 pub mod token;
 mod verdict;
+mod who;
 
-pub use verdict::{Ask, Caller, Certificate, Facts, Identity, Kind, Named, Passed, Seat, Why};
+pub use verdict::{Ask, Certificate, Facts, Identity, Named, Passed, Seat};
+pub use who::{Caller, Kind, Why};
 
 #[cfg(test)]
 mod tests;
--- a/crates/asterdale-identity/src/rights.rs
+++ b/crates/asterdale-identity/src/rights.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use crate::budget::Bucket;
-use crate::Why;
+use crate::who::Why;
 
 /// Tenants that a process tells apart over its life, those that were taken out of the start file included:
 /// their numbers are never given out anew, as fingerprints hold them.
--- a/crates/asterdale-identity/src/token.rs
+++ b/crates/asterdale-identity/src/token.rs
@@ -7,7 +7,7 @@
 use ed25519_dalek::{Signature, VerifyingKey};
 use serde::{Deserialize, Serialize};
 
-use crate::Why;
+use crate::who::Why;
 
 /// A token is no longer, in bytes: a parameter of a request, beside which there must be room for others.
 pub const MOST_TOKEN: usize = 4096;
--- a/crates/asterdale-members/src/fleet.rs
+++ b/crates/asterdale-members/src/fleet.rs
@@ -350,6 +350,11 @@
         self.is_member() && self.part() > 0.5 && (alone || now - self.acked_at <= lately)
     }
 
+    /// How old its view is: since a probe of it was last answered; infinite where none ever was, or it stood still.
+    pub fn age_ms(&self, now: f64) -> f64 {
+        now - self.acked_at
+    }
+
     /// When it wants to be woken.
     pub fn next(&self) -> f64 {
         let standing = match self.standing {
--- a/crates/asterdale-rig/src/lib.rs
+++ b/crates/asterdale-rig/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod scripted;
 pub mod services;
 pub mod soak;
+pub mod third;
 pub mod worker;
 
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use asterdale_rig::proofs::{fleet, rotation, upgrade, Order};
-use asterdale_rig::{demo, flood, replace, soak};
+use asterdale_rig::{demo, flood, replace, soak, third};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde_json::json;
 use std::time::Duration;
@@ -62,6 +62,24 @@
         #[arg(long, default_value_t = 200.0)]
         rate: f64,
     },
+    /// Measure what a view of the fleet is worth while a third of it dies under load
+    Third {
+        /// Processes
+        #[arg(long, default_value_t = 9)]
+        members: usize,
+        /// Tasks a second in all
+        #[arg(long, default_value_t = 360.0)]
+        rate: f64,
+        /// Seconds of each part
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+        /// Seeds, each with a view and without
+        #[arg(long, default_value_t = 2)]
+        repeats: u64,
+        /// The first of them
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Hold a crowd of connections open for long: memory, threads and descriptors by their slope, and what became of
     /// each request; exit code 0 only if nothing was lost and nothing grows
     Soak {
@@ -137,6 +155,16 @@
             println!("{figures:#}");
             true
         }),
+        Command::Third { members, rate, seconds, repeats, seed } => {
+            let members = members.clamp(3, 60);
+            let rate = rate.clamp(1.0, 5000.0);
+            third::measure(&third::Order { members, rate, seconds, seed }, repeats.clamp(1, 100)).map(
+                |figures| {
+                    println!("{figures}");
+                    true
+                },
+            )
+        }
         Command::Soak { connections, rate, seconds, once, seed } => {
             let (rate, lasts) = (rate.clamp(0.1, 5000.0), Duration::from_secs(seconds));
             let connections = connections.clamp(1, 8000);
--- a/crates/asterdale-rig/src/many.rs
+++ b/crates/asterdale-rig/src/many.rs
@@ -50,6 +50,8 @@
     pub plant: Option<String>,
     /// Chance of the relays.
     pub seed: u64,
+    /// They talk with each other.
+    pub talks: bool,
 }
 
 /// The name of a member.
@@ -80,9 +82,11 @@
             start["name"] = json!(name(n));
             start["seed"] = json!(format!("{:x}", order.seed ^ (n as u64 + 1)));
             start["settings"]["servers"] = json!(order.members);
-            start["fleet"] = json!({"listen": listens[n], "advertise": relays.advertised[n], "key": key,
+            if order.talks {
+                start["fleet"] = json!({"listen": listens[n], "advertise": relays.advertised[n], "key": key,
                 "seeds": relays.advertised[..order.seeds], "interval_ms": order.interval_ms,
                 "control": control});
+            }
             let recipe = Recipe { program: order.program.clone(), start, plant: order.plant.clone() };
             members.push(Member { recipe, at, control, worker, daemon: None, stopped: false });
         }
--- a/crates/asterdale-rig/src/proofs/fleet.rs
+++ b/crates/asterdale-rig/src/proofs/fleet.rs
@@ -347,6 +347,7 @@
         program,
         plant: order.plant.clone(),
         seed: order.seed,
+        talks: true,
     })?;
     let mut play = Play {
         many,
--- a/crates/asterdale-talk/src/shown.rs
+++ b/crates/asterdale-talk/src/shown.rs
@@ -43,6 +43,8 @@
     pub certain: bool,
     /// The part of the fleet, as it was last whole, that counts as there.
     pub part: f64,
+    /// How old the view is: since a probe was last answered; absent where none was.
+    pub age_ms: Option<u64>,
     /// Two that hold the same members tell the same.
     pub hash: String,
     /// The others.
@@ -98,6 +100,7 @@
             standing: fleet.standing().to_owned(),
             certain: fleet.is_certain(now),
             part: (fleet.part() * 1e3).round() / 1e3,
+            age_ms: Some(fleet.age_ms(now)).filter(|ms| ms.is_finite()).map(|ms| ms.max(0.0) as u64),
             hash: format!("{:016x}", fleet.hash()),
             members: others.map(|seen| member(&seen.record, now - seen.since, now - seen.heard)).collect(),
             counts,
--- a/crates/asterdale/src/machine.rs
+++ b/crates/asterdale/src/machine.rs
@@ -1,6 +1,6 @@
 //! What the decisions can ask of the server that hosts them: one method an answer.
 
-use crate::decide::Handle;
+use crate::state::Handle;
 
 /// The hosting server, as the decisions see it.
 ///
