--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -425,7 +425,7 @@
         // would drown in it). Else it is as long as rejections are many: no cores lie idle.
         let moves = ours && self.told.free_value != FreeValue::Credit;
         let part = if moves { 1.0 - 4.0 / self.servers().max(4.0) } else { 0.0 };
-        // Where a view of the fleet says that nobody else takes work and is warm, going elsewhere helps nobody.
+        // Where a view of the fleet says that nobody else takes work and is warm, elsewhere helps nobody.
         let nobody = self.others.is_some_and(|(_, warm)| warm < 1.0);
         (!ours || nobody, (share.max(part) * stay).max(most.min(BEAT)))
     }
@@ -435,7 +435,7 @@
         self.others.map_or(self.told.servers, |(there, _)| there + 1.0)
     }
 
-    /// So many others are there, and so many of them take work and are warm; `None` where nothing is known of that.
+    /// So many others are there, and so many of them take work and are warm; `None` where that is not known.
     /// A hint: it may be old or wrong, and bends what is advised and whose share is what, never what may run.
     pub fn fleet(&mut self, others: Option<(f64, f64)>) {
         self.others = others;
