--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -68,7 +68,7 @@
         #[arg(long, default_value_t = 9)]
         members: usize,
         /// Tasks a second in all
-        #[arg(long, default_value_t = 360.0)]
+        #[arg(long, default_value_t = 260.0)]
         rate: f64,
         /// Seconds of each part
         #[arg(long, default_value_t = 8)]
--- a/crates/asterdale-rig/src/many.rs
+++ b/crates/asterdale-rig/src/many.rs
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// They talk with each other.
     pub talks: bool,
+    /// How long runs last, from and to, in milliseconds.
+    pub runs: (u64, u64),
 }
 
 /// The name of a member.
@@ -76,7 +78,7 @@
         let (records, registry) = (services::records().map_err(told)?, services::registry().map_err(told)?);
         let mut members = Vec::new();
         for (n, &at) in places.iter().enumerate() {
-            let worker = Worker::start(4, (2, 8)).map_err(told)?;
+            let worker = Worker::start(2, order.runs).map_err(told)?;
             let control = folder.join(format!("{n}.control"));
             let mut start = scripted::config(at, worker.at, records, registry);
             start["name"] = json!(name(n));
--- a/crates/asterdale-rig/src/proofs/fleet.rs
+++ b/crates/asterdale-rig/src/proofs/fleet.rs
@@ -348,6 +348,7 @@
         plant: order.plant.clone(),
         seed: order.seed,
         talks: true,
+        runs: (2, 8),
     })?;
     let mut play = Play {
         many,
--- a/crates/asterdale-rig/src/third.rs
+++ b/crates/asterdale-rig/src/third.rs
@@ -94,7 +94,7 @@
                     ("HTTP_X_REQUEST_START", &start),
                     ("HTTP_X_CALLER", "1"),
                     ("HTTP_X_TIMEOUT_MS", &left),
-                    ("HTTP_X_COST_MS", "20"),
+                    ("HTTP_X_COST_MS", "60"),
                     ("HTTP_X_MEMORY_KB", "8"),
                 ];
                 match callers[to].ask("/v1/page", &fields, b"ask") {
@@ -133,6 +133,8 @@
         plant: None,
         seed: order.seed,
         talks,
+        // 33 a second on two cores: with a third of the fleet gone the default rate is more than the rest can do.
+        runs: (40, 80),
     })?;
     for n in 0..many.len() {
         many.start(n)?;
