--- a/crates/asterdale-rig/src/main.rs
+++ b/crates/asterdale-rig/src/main.rs
@@ -89,8 +89,8 @@
         /// Requests a second
         #[arg(long, default_value_t = 200.0)]
         rate: f64,
-        /// How long; an hour is 3600
-        #[arg(long, default_value_t = 120)]
+        /// How long; an hour is 3600, under 100 the slopes are not told
+        #[arg(long, default_value_t = 240)]
         seconds: u64,
         /// Each request comes on a connection of its own, which then stays
         #[arg(long)]
--- a/crates/asterdale-rig/src/soak.rs
+++ b/crates/asterdale-rig/src/soak.rs
@@ -14,6 +14,8 @@
 
 /// Threads that a daemon may have, whatever the number of its connections.
 pub const MOST_THREADS: usize = 12;
+/// Samples count from then on, in seconds: fingerprints and results are kept for 60 s, and grow until then.
+const FULL: f64 = 70.0;
 /// KiB that the memory may grow in an hour by the slope. A leak of 16 bytes a task shows at 200 tasks a second;
 /// what the allocator does by itself within minutes stays under it.
 const MOST_KIB: f64 = 8192.0;
@@ -52,9 +54,14 @@
 /// What a daemon holds at one moment: seconds since the start, KiB, threads, descriptors.
 type Sample = (f64, f64, f64, f64);
 
-/// The slope of a straight line through the second half of these, per hour.
+/// The slope of a straight line through these, from when all is full and no earlier than their half, per hour; 0
+/// where the play was too short to tell.
 fn slope(samples: &[Sample], of: impl Fn(&Sample) -> f64) -> f64 {
-    let half = &samples[samples.len() / 2..];
+    let full = samples.iter().position(|sample| sample.0 >= FULL).unwrap_or(samples.len());
+    let half = &samples[full.max(samples.len() / 2)..];
+    if half.len() < 30 {
+        return 0.0;
+    }
     let n = half.len().max(1) as f64;
     let mean = |of: &dyn Fn(&Sample) -> f64| half.iter().map(of).sum::<f64>() / n;
     let (mx, my) = (mean(&|s| s.0), mean(&|s| of(s)));
