--- a/crates/asterdale-daemon/src/edge/connection.rs
+++ b/crates/asterdale-daemon/src/edge/connection.rs
@@ -21,7 +21,7 @@
 
 /// Open requests that a connection carries, by the platform's protocol.
 const MOST_OPEN: usize = 32;
-/// Answers to what makes no sense, and to management records, after which a connection ends. Edge nodes give
+/// Answers in a row to what makes no sense, and to management records, after which a connection ends. Edge nodes give
 /// no cause for them; whoever asks again as soon as it is turned away would keep the core busy.
 const MOST_TOLD: usize = 8;
 /// Bytes of answers that wait for a peer, past which no more is read from it: one that asks and reads nothing
@@ -259,7 +259,10 @@
                 Ok(Step::Whole(id, whole)) => {
                     let keep = whole.keep;
                     match self.whole(shared, peer, id, whole) {
-                        Ok(true) if keep => continue,
+                        Ok(true) if keep => {
+                            self.told = 0;
+                            continue;
+                        }
                         Ok(true) => return Some(End::Quiet),
                         Ok(false) => encoded(id, Reply::Senseless),
                         Err(what) => return Some(End::Malformed(what)),
--- a/crates/asterdale-daemon/src/edge/mod.rs
+++ b/crates/asterdale-daemon/src/edge/mod.rs
@@ -9,7 +9,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use asterdale_host::counters::Counters;
 use asterdale_host::log::Log;
@@ -25,6 +26,10 @@
 
 pub use serve::Loop;
 
+/// So long an address that is in use is waited for: well inside the 10 s in which a restart is to be ready.
+const ADDRESS_IN_USE: Duration = Duration::from_secs(6);
+const ASKED_AGAIN: Duration = Duration::from_millis(20);
+
 /// What the edge's thread is told.
 pub enum Word {
     /// Connections that carry nothing are closed after so many milliseconds from now on.
@@ -155,9 +160,21 @@
         .max(1)
 }
 
-/// Listens at this address.
-pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(at)
+/// Listens at this address. A process that is still ending may hold it for a moment: it is waited for.
+pub fn bind(at: SocketAddr, log: &Log) -> io::Result<TcpListener> {
+    let until = Instant::now() + ADDRESS_IN_USE;
+    let mut told = false;
+    loop {
+        match TcpListener::bind(at) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    slog::warn!(log.lines, "edge: the address is still in use"; "at" => %at);
+                }
+                thread::sleep(ASKED_AGAIN);
+            }
+            other => return other,
+        }
+    }
 }
 
 #[cfg(test)]
@@ -168,8 +185,6 @@
     use serde_json::json;
     use std::io::{Read, Write};
     use std::net::TcpStream;
-    use std::thread;
-    use std::time::Duration;
 
     /// A check as an edge node sends it; its path is the one parameter.
     fn check(request: u8) -> Vec<u8> {
--- a/crates/asterdale-daemon/src/head.rs
+++ b/crates/asterdale-daemon/src/head.rs
@@ -35,6 +35,7 @@
 pub fn read(params: &[u8], facts: &Facts, asked_who: bool) -> Result<Head, Malformed> {
     let [mut method, mut path, mut query, mut id, mut start] = [None; 5];
     let [mut caller, mut timeout, mut cost, mut memory, mut key, mut object, mut token] = [None; 7];
+    let mut tenant = None;
     for pair in Params(params) {
         let (name, value) = pair?;
         let field = match name {
@@ -44,6 +45,7 @@
             b"HTTP_X_REQUEST_ID" => &mut id,
             b"HTTP_X_REQUEST_START" => &mut start,
             b"HTTP_X_CALLER" => &mut caller,
+            b"HTTP_X_TENANT" => &mut tenant,
             b"HTTP_X_TIMEOUT_MS" => &mut timeout,
             b"HTTP_X_COST_MS" => &mut cost,
             b"HTTP_X_MEMORY_KB" => &mut memory,
@@ -59,17 +61,24 @@
         let deep = query.is_some_and(|query| query.split(|&b| b == b'&').any(|part| part == b"deep=1"));
         return Ok(Head::Check { deep });
     }
-    Ok(task(method, path, id, [start, caller, timeout, cost, memory], key, object, facts)
+    Ok(task(method, path, id, [start, caller, timeout, cost, memory], [tenant, key, object], facts)
         .map_or_else(Head::Senseless, |asked| Head::Task(asked, token.map(bearer))))
 }
 
+/// The position of a tenant by its name; `None` for a name that the settings don't have. Where they have no tenants, or
+/// the request names none, all count as the first.
+fn tenant_of(name: Option<&[u8]>, facts: &Facts) -> Option<u32> {
+    let Some(name) = name.filter(|_| !facts.tenants.is_empty()) else { return Some(0) };
+    let position = facts.tenants.iter().position(|tenant| tenant.as_bytes() == name)?;
+    u32::try_from(position).ok()
+}
+
 fn task(
     method: Option<&[u8]>,
     path: &[u8],
     id: Option<&[u8]>,
     [start, caller, timeout, cost, memory]: [Option<&[u8]>; 5],
-    key: Option<&[u8]>,
-    object: Option<&[u8]>,
+    [tenant, key, object]: [Option<&[u8]>; 3],
     facts: &Facts,
 ) -> Result<Asked, &'static str> {
     if method.is_some_and(|method| method != b"POST") {
@@ -86,10 +95,12 @@
         (_, value) => Ok(value),
     };
     let told = &facts.told.stages[stage];
-    let sign = |text: &[u8]| Mark { stage, tenant: 0, text: text.into() };
+    let tenant = tenant_of(tenant, facts).ok_or("tenant")?;
+    let sign = |text: &[u8]| Mark { stage, tenant, text: text.into() };
     Ok(Asked {
         id,
         stage,
+        tenant,
         start_ms: number(start).ok_or("start")?,
         caller: number(caller).filter(|&n| n <= f64::from(u32::MAX)).ok_or("caller")? as u32,
         timeout_ms: optional(timeout, "timeout")?,
--- a/crates/asterdale-daemon/src/main.rs
+++ b/crates/asterdale-daemon/src/main.rs
@@ -49,7 +49,7 @@
 
 /// Mail that waits for the host. Whoever sends more waits: a connection's reader reads no further.
 const WAITING: usize = 4096;
-/// Words to the list's or the runtime's actor that it has not read.
+/// Words to the issuer's actor that it has not read.
 const WORDS: usize = 16;
 /// Of threads that wait for one thing and keep their buffers on the heap.
 const STACK: usize = 128 * 1024;
@@ -183,8 +183,8 @@
 
 fn assemble(start: Start, file: Option<PathBuf>, log: &Log) -> Result<(), String> {
     let (mail, mailbox) = bounded(WAITING);
-    let (list, for_list) = bounded(WORDS);
-    let (moves, moved) = bounded(WORDS);
+    // Each signal brings one word at most, and none may be dropped: the last address is where the runtime is.
+    let (moves, moved) = unbounded();
     let (out, answers) = unbounded();
     let counters = Arc::new(Counters::default());
     // Before anybody can see that the program is there: a signal that comes sooner would end it.
@@ -213,7 +213,7 @@
             listeners.push(listener);
             continue;
         }
-        listeners.push(edge::bind(door.listen).map_err(|e| format!("listen: {}: {e}", door.listen))?);
+        listeners.push(edge::bind(door.listen, log).map_err(|e| format!("listen: {}: {e}", door.listen))?);
     }
     #[cfg(feature = "upgrade")]
     let guardian = control(&start, taken.as_ref(), &listeners, &mail, log)?;
@@ -231,9 +231,10 @@
     spawn("signals", move || signals(caught, &host, &again, &counted, &lines))?;
     let (host, counted, lines, at) = (mail.clone(), counters.clone(), log.clone(), start.peers.runtime);
     spawn("runtime", move || runtime::link(at, &moved, &host, &counted, &lines))?;
-    let (counted, lines, name, at) =
-        (counters.clone(), log.clone(), start.name.clone(), start.peers.registry);
-    spawn("registry", move || registry::report(at, &name, &for_list, &counted, &lines))?;
+    let (list, reporter) =
+        registry::new(start.peers.registry, start.name.clone(), counters.clone(), log.clone())
+            .map_err(|e| format!("registry: {e}"))?;
+    spawn("registry", move || reporter.serve())?;
     let writer = edges[0].writer(answers, counters.clone());
     spawn("writer", move || writer.serve())?;
     for (serving, listener) in loops.into_iter().zip(listeners) {
--- a/crates/asterdale-daemon/src/upgrade/port.rs
+++ b/crates/asterdale-daemon/src/upgrade/port.rs
@@ -50,11 +50,12 @@
 
 impl Port for Successor {
     fn task(&mut self, way: Way, request: &Request) {
-        let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark } = &request.asked;
+        let Asked { id, stage, tenant, start_ms, caller, timeout_ms, hint_ms, kb, mark } = &request.asked;
         let _ = self.0.send(What::Task(Task {
             way: way_frame(way),
             id: id.to_vec(),
             stage: *stage as u32,
+            tenant: *tenant,
             start_ms: *start_ms,
             caller: *caller,
             timeout_ms: *timeout_ms,
@@ -94,10 +95,11 @@
             let (connection, request) = way(task.way)?;
             let stage = task.stage as usize;
             let id = Id::try_from(task.id.as_slice()).ok().filter(|_| stage < stages)?;
-            let mark = task.mark.map(|text| Mark { stage, tenant: 0, text: text.into() });
+            let mark = task.mark.map(|text| Mark { stage, tenant: task.tenant, text: text.into() });
             let asked = Asked {
                 id,
                 stage,
+                tenant: task.tenant,
                 start_ms: task.start_ms,
                 caller: task.caller,
                 timeout_ms: task.timeout_ms,
--- /dev/null
+++ b/crates/asterdale-daemon/tests/registry.rs
@@ -0,0 +1,73 @@
+//! The registry's actor against registries that accept and stay silent.
+
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+
+use asterdale_rig::scripted::{until, Backend, PATIENCE};
+use serde_json::json;
+
+/// A report that was read whole and is not answered yet.
+struct Report {
+    stream: TcpStream,
+    body: String,
+}
+
+/// A registry that hands its reports to the test, unanswered.
+fn registry() -> (SocketAddr, Receiver<Report>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (sender, reports) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let request = asterdale_rig::services::request(&mut BufReader::new(&stream));
+            let Some((_, body)) = request else { continue };
+            let _ = sender.send(Report { stream, body: String::from_utf8(body).unwrap() });
+        }
+    });
+    (at, reports)
+}
+
+impl Report {
+    /// Whether the backend has closed it: nothing else comes over it.
+    fn is_closed(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let read = (&self.stream).read(&mut [0; 1]);
+        !matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+#[test]
+fn a_silent_report_gets_another_beside_it_which_counts() {
+    let (at, reports) = registry();
+    let backend = Backend::start_before_runtime(|config| config["registry"] = json!(at));
+    let next = || reports.recv_timeout(PATIENCE).expect("no report came");
+    let (silent, second) = (next(), next());
+    assert!(!silent.is_closed(), "the second report waited for the end of the first");
+    (&second.stream).write_all(b"HTTP/1.1 204 No Content\r\n\r\n").unwrap();
+    backend.counters_until(|count| count("reports") == 1 && count("reports_failed") == 0);
+    until("the end of the first", || silent.is_closed());
+}
+
+#[test]
+fn the_word_to_drain_passes_whatever_was_told_before_while_reports_are_silent() {
+    let (there, here) = (registry(), registry());
+    let mut backend = Backend::start_before_runtime(|config| config["registry"] = json!(there.0));
+    there.1.recv_timeout(PATIENCE).expect("no report came");
+    // More moves than any mailbox of a few places takes while a report stands.
+    for n in 1..=40 {
+        let at = if n % 2 == 1 { here.0 } else { there.0 };
+        let text = backend.changed(|config| config["registry"] = json!(at));
+        backend.reload(&text);
+        backend.counters_until(|count| count("reloads") == n);
+    }
+    backend.signal("-TERM");
+    let (status, log) = backend.ended();
+    assert!(status.success(), "{log}");
+    let bodies: Vec<String> = [there.1, here.1]
+        .iter()
+        .flat_map(|reports| reports.try_iter().map(|report| report.body).collect::<Vec<_>>())
+        .collect();
+    assert!(bodies.iter().any(|body| body == r#"{"state":"draining"}"#), "{bodies:?}");
+}
--- /dev/null
+++ b/crates/asterdale-daemon/tests/runtime.rs
@@ -0,0 +1,55 @@
+//! The link to the runtime where it says what it should not, or is another one than before.
+
+use asterdale_rig::scripted::{until, Backend};
+use serde_json::json;
+
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+const C: &str = "00000000000000cc";
+
+#[test]
+fn a_notice_far_out_of_range_hides_no_later_one() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    let far = json!({"t": "info", "no": 9_000_000_000_000_000_000u64, "status": "far"});
+    backend.runtime.say(&far.to_string());
+    backend.runtime.end(A, "PASS", b"heard");
+    assert_eq!(edge.answer().unwrap().body, b"heard");
+    backend.counters_until(|count| count("lines_bad") == 1);
+}
+
+#[test]
+fn runs_of_a_runtime_that_was_replaced_fail_at_once_and_the_new_one_is_heard() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"first");
+    assert_eq!(edge.answer().unwrap().body, b"first");
+    edge.task(2, "page", B, &[]);
+    backend.runtime.command("start");
+    // Up for less long than the one before had been, with nothing of its work; its notices are numbered from 1.
+    backend.runtime.replaced();
+    assert_eq!(edge.status(2), "500");
+    edge.task(3, "page", C, &[]);
+    assert_eq!(backend.runtime.command("start")["rid"], C);
+    backend.runtime.end(C, "PASS", b"new");
+    assert_eq!(edge.answer().unwrap().body, b"new");
+}
+
+#[test]
+fn a_server_that_is_asked_before_its_runtime_is_up_counts_as_cold_until_that_says_otherwise() {
+    let backend = Backend::start_before_runtime(|_| ());
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    until("the start", || backend.log().contains("host: begun"));
+    assert!(backend.log().contains("cold: true"), "{}", backend.log());
+    backend.runtime.up();
+    until("the runtime's word", || backend.log().contains("host: the runtime has begun"));
+    assert!(backend.log().contains("cold: false"), "{}", backend.log());
+    backend.runtime.command("start");
+    backend.runtime.end(A, "PASS", b"");
+    assert_eq!(edge.status(1), "200");
+}
--- a/crates/asterdale-daemon/tests/sockets.rs
+++ b/crates/asterdale-daemon/tests/sockets.rs
@@ -587,3 +587,19 @@
     assert_eq!(output.status.code(), Some(2));
     assert_eq!(text, "asterdale: runtime: \"nowhere\" is no address with a port\n");
 }
+
+#[test]
+fn an_address_that_a_process_still_holds_is_waited_for() {
+    let mut holder = None;
+    let backend = Backend::start_before_runtime(|config| {
+        let at: std::net::SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+        holder = Some(TcpListener::bind(at).unwrap());
+    });
+    until("the word of it", || backend.log().contains("edge: the address is still in use"));
+    drop(holder);
+    until("serving", || backend.log().contains("host: serving"));
+    backend.runtime.up();
+    let mut edge = backend.connect();
+    edge.task(1, "page", A, &[]);
+    assert_eq!(backend.runtime.command("start")["rid"], A);
+}
--- /dev/null
+++ b/crates/asterdale-daemon/tests/tenants.rs
@@ -0,0 +1,112 @@
+//! What one tenant sends never meets another's, and a connection that brings management records keeps its requests.
+
+use asterdale_fastcgi::kind;
+use asterdale_rig::scripted::{record, Backend, Edge, PATIENCE};
+use serde_json::json;
+
+const KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+const TENANTS: [&str; 3] = ["north", "river", "port"];
+
+fn backend() -> Backend {
+    let backend = Backend::start_before_runtime(|config| {
+        let tenants = TENANTS.map(|name| json!({"name": name, "allowancePerS": 50.0, "portion": 0.3}));
+        config["settings"]["tenants"] = json!(tenants);
+        config["settings"]["extra"]["cores"] = json!(40);
+    });
+    backend.runtime.up();
+    backend
+}
+
+#[test]
+fn a_key_of_one_tenant_is_none_of_anothers_and_an_unknown_tenant_is_refused() {
+    let backend = backend();
+    let mut edge = backend.connect();
+    for (number, tenant) in (1u16..).zip(TENANTS) {
+        let id = format!("{number:016x}");
+        edge.task(number, "bid", &id, &[KEY, ("HTTP_X_TENANT", tenant)]);
+        assert_eq!(backend.runtime.command("start")["rid"], id, "{tenant}");
+    }
+    // Repeats of each, while all run: each gets its own tenant's result.
+    for (number, tenant) in (11u16..).zip(TENANTS) {
+        edge.task(number, "bid", &format!("{number:016x}"), &[KEY, ("HTTP_X_TENANT", tenant)]);
+    }
+    backend.counters_until(|count| count("tasks_taken") == 6);
+    for (number, tenant) in (1u16..).zip(TENANTS) {
+        backend.runtime.end(&format!("{number:016x}"), "PASS", tenant.as_bytes());
+    }
+    for _ in 0..6 {
+        let answer = edge.answer().unwrap();
+        let tenant = TENANTS[usize::from((answer.request - 1) % 10)];
+        assert_eq!(answer.body, tenant.as_bytes(), "{}", answer.request);
+    }
+    edge.task(20, "bid", "00000000000000aa", &[KEY, ("HTTP_X_TENANT", "nobody")]);
+    assert_eq!(edge.status(20), "400");
+    assert_eq!(backend.runtime.commanded(), None);
+}
+
+/// Interleaved requests of several tenants on several connections, with numbers used again: each gets the result
+/// of its own run.
+#[test]
+fn interleaved_requests_of_several_tenants_never_get_each_others_results() {
+    let backend = backend();
+    let mut edges: Vec<Edge> = (0..3).map(|_| backend.connect()).collect();
+    let mut chance = 7u64;
+    for round in 0..40u64 {
+        let mut open = Vec::new();
+        for (at, edge) in edges.iter_mut().enumerate() {
+            for number in 1..=4u16 {
+                chance = chance.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                let tenant = TENANTS[(chance >> 33) as usize % TENANTS.len()];
+                let stage = if chance >> 62 == 0 { "bid" } else { "page" };
+                let id = format!("{:016x}", (round << 16) | ((at as u64) << 8) | u64::from(number));
+                let key = format!("{:032x}", chance >> 40);
+                let fields = [("HTTP_X_TENANT", tenant), ("HTTP_IDEMPOTENCY_KEY", key.as_str())];
+                edge.task(number, stage, &id, &fields);
+                open.push((at, number, id, tenant));
+            }
+        }
+        for _ in 0..open.len() {
+            let command = backend.runtime.command("start");
+            let id = command["rid"].as_str().unwrap();
+            let (.., tenant) = open.iter().find(|(_, _, known, _)| known == id).expect("of this round");
+            backend.runtime.end(id, "PASS", format!("{id} {tenant}").as_bytes());
+        }
+        for (at, edge) in edges.iter_mut().enumerate() {
+            for _ in 0..4 {
+                let answer = edge.answer().unwrap();
+                let (.., id, tenant) =
+                    open.iter().find(|(on, number, ..)| (*on, *number) == (at, answer.request)).unwrap();
+                assert_eq!(answer.body, format!("{id} {tenant}").as_bytes());
+            }
+        }
+    }
+}
+
+#[test]
+fn management_records_between_requests_cost_a_connection_no_request() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    edge.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    for number in 1..=20u16 {
+        // FCGI_GET_VALUES, of no variable.
+        edge.send(&record(kind::GET_VALUES, 0, &[]));
+        let id = format!("{number:016x}");
+        edge.task(number, "page", &id, &[]);
+        backend.runtime.command("start");
+        backend.runtime.end(&id, "PASS", b"whole");
+        let answer = next_answer(&mut edge);
+        assert_eq!((answer, backend.runtime.commanded()), (number, None));
+    }
+}
+
+/// The number of the next answer to a request; replies to management records are read over.
+fn next_answer(edge: &mut Edge) -> u16 {
+    loop {
+        match edge.try_answer() {
+            Ok(Some(answer)) => return answer.request,
+            Ok(None) => panic!("the connection ended"),
+            Err(e) if e.kind() == std::io::ErrorKind::InvalidData => {} // GET_VALUES_RESULT
+            Err(e) => panic!("{e}"),
+        }
+    }
+}
--- a/crates/asterdale-facts/src/lib.rs
+++ b/crates/asterdale-facts/src/lib.rs
@@ -23,6 +23,8 @@
     pub told: Told,
     /// The names of the stages, in the order of [`Told::stages`].
     pub stages: Vec<String>,
+    /// The names of the tenants, in the order of [`Told::customers`]; may be empty.
+    pub tenants: Vec<String>,
     /// The names of the gauges, in the order in which their values will come.
     pub gauges: Vec<String>,
 }
@@ -102,6 +104,7 @@
     Facts {
         told,
         stages: list(&all["lanes"]).iter().map(|lane| text(&lane["name"])).collect(),
+        tenants: list(&all["tenants"]).iter().map(|tenant| text(&tenant["name"])).collect(),
         gauges: list(&extra["ownStats"]).iter().map(text).collect(),
     }
 }
@@ -115,7 +118,8 @@
         let text =
             br#"{"new": [1, {"a": null}], "extra": {"cores": 6, "below": "shared", "ownStats": ["core_use"]},
             "lanes": [{"name": "bid", "repeat": "by_key", "objectiveNs": 2500000, "worth": 3.0}]}"#;
-        let Facts { told, stages, gauges } = read(7, text).unwrap();
+        let Facts { told, stages, tenants, gauges } = read(7, text).unwrap();
+        assert!(tenants.is_empty());
         assert_eq!((told.seed, told.cores, told.memory_kb), (7, 6.0, 0.0));
         assert_eq!((told.below, told.halt), (Below::Shared, Halt::Never));
         assert_eq!((told.stages[0].due_ms, told.stages[0].repeat), (2.5, Repeat::Fingerprinted));
--- a/crates/asterdale-host/src/below.rs
+++ b/crates/asterdale-host/src/below.rs
@@ -13,6 +13,7 @@
 use crate::log::Kind;
 use crate::mail::{Client, Course, How, Id, Line, Peers, Serial, Word};
 use crate::runtime;
+use crate::tasks::{Sent, Slot};
 
 /// A runtime that owes gauges for so many beats (3 s) may have lost its link without a word. A new one does no
 /// harm.
@@ -20,6 +21,11 @@
 /// Before the link moves to another address, so long is waited for the proof that all commands arrived.
 const MOVING_MS: f64 = 300.0;
 
+/// A runtime that has been up for less than before, by more than this, is another one: what it says is rounded.
+const RESTART_SLACK_MS: f64 = 1000.0;
+/// A notice with a number further ahead than this makes no sense: as many are not missed between two links.
+const MOST_AHEAD: u64 = 1_000_000;
+
 /// Marks the gauges whose coming proves that all commands on a link that is to end arrived.
 pub(crate) const LAST: &str = "last";
 /// Marks the gauges whose coming shows that all missed notices were sent.
@@ -63,7 +69,16 @@
     /// may have arrived or not: until the answer to this, which comes after them, nothing else is sent, so
     /// that no run that has ended is started. Asked any sooner, a runtime that is not up turns it down.
     pub(crate) fn ready(&mut self, cold: bool, ago_ms: f64) {
-        self.begin(cold, ago_ms);
+        let up_before = self.runtime_up_ms.replace(ago_ms);
+        let replaced = up_before.is_some_and(|before| ago_ms + RESTART_SLACK_MS < before);
+        if self.server.is_none() {
+            self.begin(cold, ago_ms);
+        } else if up_before.is_none() || replaced {
+            self.runtime_began(cold, ago_ms);
+        }
+        if replaced {
+            self.runtime_replaced();
+        }
         let link = &mut self.tasks.link;
         (link.ready, link.silent) = (true, 0);
         if let Some(commands) = &link.commands {
@@ -71,6 +86,32 @@
         }
     }
 
+    /// The runtime has said how it began when the module had begun already.
+    fn runtime_began(&mut self, cold: bool, ago_ms: f64) {
+        let now = self.tasks.now;
+        let cold = cold || self.tasks.facts.told.cold;
+        slog::info!(self.tasks.log.lines, "host: the runtime has begun"; "cold" => cold, "ago_ms" => ago_ms);
+        self.cold_until = if cold { now - ago_ms + self.tasks.facts.told.cold_ms } else { now };
+        if let Some(server) = &mut self.server {
+            server.runtime_began(cold, now - ago_ms);
+        }
+    }
+
+    /// Another runtime is in the place of the one before: it numbers its notices anew, and whatever had been handed
+    /// to the one before may have run and will never be heard of.
+    fn runtime_replaced(&mut self) {
+        static REPLACED: Kind = Kind::new();
+        let handed = |slot: &&Slot| slot.started && slot.sent.as_ref().is_none_or(Sent::was_handed);
+        let lost: Vec<Id> = self.tasks.slots.iter().flatten().filter(handed).map(|slot| slot.id).collect();
+        if self.tasks.log.may(&REPLACED) {
+            slog::error!(self.tasks.log.lines, "runtime: it has been replaced"; "runs_lost" => lost.len());
+        }
+        self.tasks.link.last = 0;
+        for id in lost {
+            self.run_over(&id, How::Fail, Vec::new());
+        }
+    }
+
     /// All missed notices are read: what may not have arrived is sent again.
     pub(crate) fn replayed(&mut self) {
         self.tasks.link.replaying = false;
@@ -86,12 +127,12 @@
             "records" => %to.records, "registry" => %to.registry);
         self.tasks.records.go_to(to.records);
         if was.registry != to.registry {
-            let _ = self.list.try_send(Word::Move(to.registry));
+            self.list.send(Word::Move(to.registry));
         }
         if was.runtime == to.runtime {
             return;
         }
-        let _ = self.moves.try_send(Course::Move(to.runtime));
+        let _ = self.moves.send(Course::Move(to.runtime));
         if self.tasks.link.replaying {
             // One that is moving goes on; one that takes nothing yet has nothing to lose.
             if !self.tasks.link.move_by.is_finite() {
@@ -111,9 +152,14 @@
 
     /// A notice is counted once, whichever link it came over.
     pub(crate) fn first(&mut self, no: u64) -> bool {
-        let new = no > self.tasks.link.last;
-        self.tasks.link.last = self.tasks.link.last.max(no);
-        new
+        let last = self.tasks.link.last;
+        if no > last.saturating_add(MOST_AHEAD) {
+            // Taken for the last, it would have all true ones passed over as known.
+            self.tasks.counters.lines_bad.add();
+            return false;
+        }
+        self.tasks.link.last = last.max(no);
+        no > last
     }
 
     pub(crate) fn line(&mut self, line: Line) {
--- a/crates/asterdale-host/src/callers.rs
+++ b/crates/asterdale-host/src/callers.rs
@@ -97,11 +97,12 @@
         self.identity.as_mut()?.replace(place)
     }
 
-    /// The customer that a caller's tasks count for.
-    pub fn customer(&self, caller: Option<&Caller>) -> usize {
+    /// The customer that a caller's requests count for. Where callers are known that is by what they have proven, and
+    /// not by what the edge node says.
+    pub fn customer(&self, caller: Option<&Caller>, said: u32) -> usize {
         match (&self.identity, caller) {
             (Some(identity), Some(caller)) => identity.customer(caller.tenant),
-            _ => 0,
+            _ => said as usize,
         }
     }
 
--- a/crates/asterdale-host/src/host.rs
+++ b/crates/asterdale-host/src/host.rs
@@ -22,6 +22,7 @@
 use crate::mail::{
     Asked, Company, Course, Doing, Fronts, Mail, Nudge, Peers, Reply, Request, Serial, Way, Word,
 };
+use crate::post::Post;
 use crate::records::Records;
 use crate::tasks::{Link, Slot, Tasks};
 
@@ -44,7 +45,7 @@
     /// Have the connections.
     pub fronts: Arc<dyn Fronts>,
     /// The list's actor.
-    pub list: Sender<Word>,
+    pub list: Post<Word>,
     /// The runtime's actor hears here where it is to link to, or not.
     pub moves: Sender<Course>,
     /// The issuer's actor, where there is one.
@@ -93,11 +94,13 @@
     pub(crate) stop_ms: f64,
     /// Where the peers listen.
     pub(crate) peers: Peers,
-    pub(crate) list: Sender<Word>,
+    pub(crate) list: Post<Word>,
     pub(crate) moves: Sender<Course>,
     company: Option<Arc<dyn Company>>,
+    /// How long the runtime had been up when it last said so.
+    pub(crate) runtime_up_ms: Option<f64>,
     /// Until when it counts as cold, once the module has begun.
-    cold_until: f64,
+    pub(crate) cold_until: f64,
     /// When all must be answered, once the notice has come.
     pub(crate) leave_by: Option<Instant>,
     /// Whether the work is another process's, or about to be.
@@ -166,6 +169,7 @@
             list,
             moves,
             company,
+            runtime_up_ms: None,
             cold_until: f64::INFINITY,
             leave_by: None,
             #[cfg(feature = "handover")]
@@ -320,7 +324,7 @@
         #[cfg(not(feature = "takeover"))]
         let _ = looked;
         let Request { asked, token, certificate, body, client, request, since } = request;
-        let Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mut mark } = asked;
+        let Asked { id, stage, tenant, start_ms, caller, timeout_ms, hint_ms, kb, mut mark } = asked;
         let tasks = &mut self.tasks;
         if tasks.by_way.contains_key(&(client.connection(), request)) {
             // Two answers under one number could not be told apart: the first request keeps it.
@@ -356,12 +360,12 @@
         let mut kept = None;
         #[cfg(feature = "takeover")]
         if let Some(mark) = mark.as_ref().filter(|_| !repeat) {
-            let tenant = who.as_deref().map_or("", |who| &who.claims.tenant);
+            let owner = who.as_deref().map_or("", |who| &who.claims.tenant);
             let left_ms = timeout_ms.unwrap_or(tasks.facts.told.stages[stage].limit_ms) - since_ms;
-            kept = tasks.keeps(mark, tenant, (left_ms, hint_ms, kb), &body);
+            kept = tasks.keeps(mark, owner, (left_ms, hint_ms, kb), &body);
             if let (Some(kept), false) = (&kept, looked) {
                 let mark = Some(mark.clone());
-                let asked = Asked { id, stage, start_ms, caller, timeout_ms, hint_ms, kb, mark };
+                let asked = Asked { id, stage, tenant, start_ms, caller, timeout_ms, hint_ms, kb, mark };
                 let request = Request { asked, token, certificate, body, client, request, since };
                 return tasks.look(request, kept);
             }
@@ -388,7 +392,7 @@
         let caller = *self.callers.entry(caller).or_insert(next);
         let arrival = Arrival {
             stage,
-            customer: tasks.callers.customer(who.as_deref()),
+            customer: tasks.callers.customer(who.as_deref(), tenant),
             caller,
             unread_ms,
             left_ms,
@@ -416,7 +420,9 @@
             wants,
             sent,
         });
-        self.begin(false, 0.0);
+        // No request comes before the runtime is up, but for one by a list that is out of date: until the runtime says
+        // otherwise the server counts as one that has just started.
+        self.begin(true, 0.0);
         if let Some(server) = &mut self.server {
             server.take(self.tasks.now, arrival, &mut self.tasks);
         }
--- a/crates/asterdale-host/src/leaving.rs
+++ b/crates/asterdale-host/src/leaving.rs
@@ -21,7 +21,7 @@
         let left_ms = self.stop_ms - self.way_out_ms();
         slog::info!(self.tasks.log.lines, "host: leaving"; "answers_within_ms" => left_ms);
         self.leave_by = Some(Instant::now() + Duration::from_millis(left_ms as u64));
-        let _ = self.list.try_send(Word::Leave);
+        self.list.send(Word::Leave);
         self.begin(false, 0.0);
         #[cfg(feature = "takeover")]
         self.tasks.desk.leaves_by(self.tasks.now + left_ms);
--- a/crates/asterdale-host/src/lib.rs
+++ b/crates/asterdale-host/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`mail::Reply`]; which protocol they speak is theirs alone.
 //!
 //! Floors, from below: `mail` (plain data, which imports nothing of the engine) and what all share (`counters`, `log`,
-//! `clock`, `gather`, `http`, `post`); the links (`runtime`, `records`, `registry`, `issuer`), the table of `fingerprints`
+//! `clock`, `gather`, `http`, `exchange`, `post`); the links (`runtime`, `records`, `registry`, `issuer`), the table of `fingerprints`
 //! and `callers`; `tasks` and its `gate`; `host`, the module's actor; and what else that actor does, a file a concern:
 //! `below` (the runtime's word, calls, checks), `custody` (work that others keep), `leaving`,
 //! `passing`. None names one above it.
@@ -17,6 +17,7 @@
 pub mod counters;
 #[cfg(feature = "takeover")]
 mod custody;
+mod exchange;
 mod fingerprints;
 mod gate;
 pub mod gather;
--- a/crates/asterdale-host/src/mail.rs
+++ b/crates/asterdale-host/src/mail.rs
@@ -29,7 +29,7 @@
 pub struct Mark {
     /// The stage.
     pub stage: usize,
-    /// The tenant, so that no key of one tenant meets another's; 0 where callers are not known.
+    /// The tenant, so that no key of one tenant meets another's; 0 where there are none.
     pub tenant: u32,
     /// The key as it came.
     pub text: Box<[u8]>,
@@ -44,6 +44,8 @@
     pub stage: usize,
     /// When it came to the machine, in Unix milliseconds.
     pub start_ms: f64,
+    /// Its tenant, a position in the settings' list, as the edge node has it; 0 where it says none.
+    pub tenant: u32,
     /// The number of the edge node.
     pub caller: u32,
     /// How long the edge node waits from then on.
--- a/crates/asterdale-host/src/passing.rs
+++ b/crates/asterdale-host/src/passing.rs
@@ -234,7 +234,7 @@
             }
         }
         self.tasks.link.commands = None;
-        let _ = self.moves.try_send(Course::Quiet(true));
+        let _ = self.moves.send(Course::Quiet(true));
         self.checks_end();
         self.aside.frozen = true;
         self.tasks.now = self.clock.now();
@@ -244,14 +244,14 @@
     /// The link is this process's again: what may not have arrived is sent again on the new one.
     fn link_again(&mut self) {
         self.tasks.link.replaying = true;
-        let _ = self.moves.try_send(Course::Quiet(false));
+        let _ = self.moves.send(Course::Quiet(false));
     }
 
     fn give(&mut self, port: Box<dyn Port>, mailbox: &Receiver<Mail>) {
         let until = self.tasks.fingerprints.last_window().max(self.tasks.now);
         self.aside.frozen = false;
         self.aside.guarding = Some(Guarding { port: Some(port), until, ..Guarding::default() });
-        let _ = self.list.try_send(Word::Quiet(true));
+        self.list.send(Word::Quiet(true));
         self.tasks.fronts.aside(true);
         self.tasks.fronts.hush();
         slog::info!(self.tasks.log.lines, "upgrade: the work is the new process's; this one guards it";
@@ -341,7 +341,7 @@
         }
         self.tasks.elsewhere = guarding.elsewhere;
         self.tasks.fronts.aside(false);
-        let _ = self.list.try_send(Word::Quiet(false));
+        self.list.send(Word::Quiet(false));
         self.link_again();
         let over: Vec<Handle> = (self.tasks.by_serial.values().copied())
             .filter(|task| {
--- a/crates/asterdale-host/src/records.rs
+++ b/crates/asterdale-host/src/records.rs
@@ -2,18 +2,18 @@
 //! waits for alone.
 
 use std::collections::{BTreeSet, HashMap};
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use asterdale::told::Outcome;
 use crossbeam_channel::Sender;
-use mio::net::TcpStream;
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Poll, Token};
 
 use crate::counters::Counters;
-use crate::http::{Collector, Reply};
+use crate::exchange::Exchange;
+use crate::http::Reply;
 use crate::log::{Kind, Log};
 use crate::mail::{text, Call, Mail};
 use crate::post::{self, Letters, Post};
@@ -61,12 +61,7 @@
 /// A call that is out.
 struct Open {
     call: Call,
-    stream: TcpStream,
-    /// The connection is made.
-    made: bool,
-    /// What is not written of it.
-    out: Vec<u8>,
-    reply: Collector,
+    exchange: Exchange,
     end: Instant,
 }
 
@@ -129,27 +124,11 @@
         let number = self.next;
         // Numbers come again after a lifetime of calls, and never the mailbox's.
         self.next = (self.next + 1) % LETTERS.0;
-        let made = TcpStream::connect(at).and_then(|mut stream| {
-            let _ = stream.set_nodelay(true);
-            let either = Interest::READABLE | Interest::WRITABLE;
-            self.poll.registry().register(&mut stream, Token(number), either).map(|()| stream)
-        });
-        match made {
-            Ok(stream) => {
-                let end = call.asked + call.patience;
-                let wait_ms = end.saturating_duration_since(Instant::now()).as_millis().max(1);
-                let mut out = format!(
-                    "POST /records/op HTTP/1.1\r\nHost: {at}\r\nOp-Of: {}\r\nOp-Wait-Ms: {wait_ms}\r\n{}\
-                     Content-Length: {}\r\n\r\n",
-                    text(&call.id),
-                    fenced(&call),
-                    call.body.len()
-                )
-                .into_bytes();
-                out.extend_from_slice(&call.body);
+        let end = call.asked + call.patience;
+        match Exchange::begin(&self.poll, Token(number), at, request(at, &call, end)) {
+            Ok(exchange) => {
                 self.ends.insert((end, number));
-                let reply = Collector::default();
-                self.open.insert(number, Open { call, stream, made: false, out, reply, end });
+                self.open.insert(number, Open { call, exchange, end });
                 true
             }
             Err(e) => {
@@ -169,11 +148,11 @@
     /// Something can be read or written for this call. `false` if the host is gone.
     fn go_on(&mut self, number: usize) -> bool {
         let Some(open) = self.open.get_mut(&number) else { return true };
-        match open.go_on() {
+        match open.exchange.go_on() {
             Ok(None) => true,
             Ok(Some(reply)) => self.over(number, outcome(&reply), reply.body),
             Err(e) => {
-                let outcome = if open.made { broken_off(&e) } else { broken(&e) };
+                let outcome = if open.exchange.connected() { broken_off(&e) } else { broken(&e) };
                 self.over(number, outcome, Vec::new())
             }
         }
@@ -192,43 +171,19 @@
     }
 }
 
-impl Open {
-    /// Goes on as far as it can without waiting; the reply, once it is whole.
-    fn go_on(&mut self) -> io::Result<Option<Reply>> {
-        if !self.made {
-            if let Some(e) = self.stream.take_error()? {
-                return Err(e);
-            }
-            match self.stream.peer_addr() {
-                Ok(_) => self.made = true,
-                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(None),
-                Err(e) => return Err(e),
-            }
-        }
-        while !self.out.is_empty() {
-            match self.stream.write(&self.out) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => drop(self.out.drain(..n)),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-                Err(e) => return Err(e),
-            }
-        }
-        let mut chunk = [0; 4096];
-        loop {
-            match self.stream.read(&mut chunk) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(n) => {
-                    if let Some(reply) = self.reply.take(&chunk[..n])? {
-                        return Ok(Some(reply));
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-                Err(e) => return Err(e),
-            }
-        }
-    }
+/// A call as the service reads it; it says how long this process still waits.
+fn request(at: SocketAddr, call: &Call, end: Instant) -> Vec<u8> {
+    let wait_ms = end.saturating_duration_since(Instant::now()).as_millis().max(1);
+    let mut bytes = format!(
+        "POST /records/op HTTP/1.1\r\nHost: {at}\r\nOp-Of: {}\r\nOp-Wait-Ms: {wait_ms}\r\n{}\
+         Content-Length: {}\r\n\r\n",
+        text(&call.id),
+        fenced(call),
+        call.body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(&call.body);
+    bytes
 }
 
 /// What a reply proves.
--- a/crates/asterdale-host/src/runtime.rs
+++ b/crates/asterdale-host/src/runtime.rs
@@ -198,6 +198,8 @@
     let (commands, for_writer) = bounded(WAITING);
     let (over, ended) = bounded(0);
     let _ = stream.set_nodelay(true);
+    // A runtime that reads nothing fills the way out: its writer must not wait for ever, or the link would never end.
+    let _ = stream.set_write_timeout(Some(PATIENCE));
     host.send(Mail::Linked(commands)).ok()?;
     writer.send((stream.clone(), for_writer, over)).ok()?;
     let why = lines(stream, host, counters)?;
--- a/crates/asterdale-host/src/tasks.rs
+++ b/crates/asterdale-host/src/tasks.rs
@@ -37,6 +37,11 @@
 }
 
 impl Sent {
+    /// Whether it went into a link, and may have arrived.
+    pub fn was_handed(&self) -> bool {
+        self.handed
+    }
+
     /// Whether it can go out on a new link. A run may end, or ask for its next call, while a second copy is
     /// under way: it would run again, or get the wrong reply. Rather than that, the task waits for its due
     /// time; once it is answered a second start is void.
--- a/crates/asterdale-rig/src/scripted.rs
+++ b/crates/asterdale-rig/src/scripted.rs
@@ -324,9 +324,10 @@
     shared: Arc<Mutex<Shared>>,
 }
 
-#[derive(Default)]
 struct Shared {
     up: bool,
+    /// How long it has been up, as it says.
+    up_ms: f64,
     /// Whatever comes is lost.
     deaf: bool,
     link: Option<TcpStream>,
@@ -337,6 +338,13 @@
     ready: bool,
 }
 
+impl Default for Shared {
+    fn default() -> Shared {
+        let (up, deaf, ready) = (false, false, false);
+        Shared { up, up_ms: 60_000.0, deaf, link: None, notices: Vec::new(), synced: None, ready }
+    }
+}
+
 impl Shared {
     fn say(&self, line: &Value) {
         if let Some(mut link) = self.link.as_ref() {
@@ -346,7 +354,7 @@
     fn ready(&mut self) {
         if let (true, false, Some(no)) = (self.up, self.ready, self.synced) {
             self.ready = true;
-            self.say(&json!({"t": "ready", "status": "LOADED", "time_ms": 5}));
+            self.say(&json!({"t": "ready", "status": "LOADED", "time_ms": self.up_ms}));
             self.notices.iter().skip(no as usize).for_each(|notice| self.say(notice));
         }
     }
@@ -440,6 +448,14 @@
         self.notice(json!({"t": "wants", "rid": id, "b64": STANDARD.encode(body)}));
     }
 
+    /// Another runtime takes its place: up for a moment, with no work, and notices numbered anew.
+    pub fn replaced(&self) {
+        self.broken(|runtime| {
+            let mut shared = runtime.shared.lock().unwrap();
+            (shared.up_ms, shared.notices) = (1.0, Vec::new());
+        });
+    }
+
     /// Breaks the link. What is noticed meanwhile comes only with the next one.
     pub fn broken(&self, meanwhile: impl FnOnce(&Runtime)) {
         {
--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -23,7 +23,7 @@
 const FEW: f64 = 0.1; // of the tasks read; by trial: 0.05 leaves others idle, 0.2 costs reading in overload
 const CREDIT: f64 = 2.0; // times the limit: 1.5 leaves uneven callers short, 3 lets slow servers fill up
 const MEMORY_PART: f64 = 0.9; // of the memory: the rest is for sizes that are told roughly
-const CALL_PART: f64 = 0.3; // of our slice of what the dependency survives: it slows long before that
+const CALL_PART: f64 = 0.45; // of our slice of a dependency; by trial: 0.3 starves servers that call more, 0.9 tips it
 
 impl Server {
     /// A server that has just started.
@@ -51,6 +51,11 @@
         server
     }
 
+    /// The runtime says when it began, after requests had come already; or another one has taken its place.
+    pub fn runtime_began(&mut self, cold: bool, at: f64) {
+        (self.told.cold, self.born) = (cold, at);
+    }
+
     fn in_state(&self, state: State) -> usize {
         self.count[state as usize]
     }
