--- a/crates/asterdale/src/decide.rs
+++ b/crates/asterdale/src/decide.rs
@@ -23,7 +23,7 @@
 const FEW: f64 = 0.1; // of the tasks read; by trial: 0.05 leaves others idle, 0.2 costs reading in overload
 const CREDIT: f64 = 2.0; // times the limit: 1.5 leaves uneven callers short, 3 lets slow servers fill up
 const MEMORY_PART: f64 = 0.9; // of the memory: the rest is for sizes that are told roughly
-const CALL_PART: f64 = 0.45; // of our slice of a dependency; by trial: 0.3 starves servers that call more, 0.9 tips it
+const CALL_PART: f64 = 0.45; // of our slice below; by trial: 0.3 starves cold servers, 0.9 tips the layer
 
 impl Server {
     /// A server that has just started.
@@ -506,9 +506,9 @@
         self.call_time.roll(now);
         let since = now - self.last_beat;
         self.call_time.add(self.calls_in_hand() * since);
-        // Calls to a shared dependency go out evenly. All servers see it slow and recover in the same moment: were
-        // each to make the calls it has waiting at once, their sum would tip it over again, though each stays
-        // within its slice over time. So a call that took long is followed by a pause that is longer in proportion.
+        // Calls to a shared dependency go out evenly. All servers see it slow and recover in the same moment:
+        // were each to make the calls it has waiting at once, their sum would tip it over again, though each
+        // stays within its slice over time. So a call that took long is followed by a longer pause.
         if self.told.below == Below::Shared {
             let earned = (self.call_slice() - self.in_state(State::Calling) as f64) * since;
             self.call_credit = (self.call_credit + earned).min(10.0 * BEAT * self.call_slice());
