--- a/review/standins.py
+++ b/review/standins.py
@@ -102,7 +102,7 @@
 class Runtime:
     """The runtime: one link, numbered notices, runs that take their time and may need a call."""
 
-    def __init__(self, ledger, cores=4):
+    def __init__(self, ledger, cores=6):
         self.ledger, self.cores = ledger, cores
         self.began = now_ms()
         self.up = True
@@ -392,6 +392,14 @@
             return connection
         return min(usable, key=lambda c: len(c.open))
 
+    def close_idle(self):
+        """Closes the connections on which no request is open."""
+        for connection in self.pool:
+            if connection.usable and not connection.open:
+                connection.usable = False
+                connection.transport.close()
+        self.pool = [c for c in self.pool if c.usable]
+
     def new_request(self, route, key=None, body=None, timeout_ms=2000):
         rid = "%016x" % random.getrandbits(64)
         body = os.urandom(64) if body is None else body
@@ -574,29 +582,29 @@
     return b"Status: 200" in data
 
 
-def settings(cores=4, classes=None, **extra):
-    """The settings of a small deployment; times in nanoseconds."""
-    seconds = 1_000_000_000
-    lanes = classes or [
-        {"name": "page", "deadlineNs": 4 * seconds, "objectiveNs": 2 * seconds, "repeat": "repeatable",
+def settings(cores=6, **extra):
+    """The settings of a small deployment, with two classes, times and windows of auction-south; in nanoseconds."""
+    ms = 1_000_000
+    lanes = [
+        {"name": "lot-page", "deadlineNs": 7000 * ms, "objectiveNs": 1900 * ms, "repeat": "repeatable",
          "worth": 1.0, "lateShare": 0.2},
-        {"name": "bid", "deadlineNs": 4 * seconds, "objectiveNs": 2 * seconds, "repeat": "by_key",
-         "worth": 3.0, "lateShare": 0.0, "memorySpanNs": 15 * seconds},
+        {"name": "absentee-bid", "deadlineNs": 5800 * ms, "objectiveNs": 1900 * ms, "repeat": "by_key",
+         "worth": 3.0, "lateShare": 0.0, "memorySpanNs": 17457 * ms},
     ]
     facts = {
-        "below": "shared", "blowup": 16.0, "callsOut": 10.0, "classCalls": [True] * len(lanes), "cold": False,
-        "cores": cores, "depWindowNs": 5 * seconds, "entryKb": 20.0, "freshForNs": 0, "halt": "silent",
-        "idleNs": 30 * seconds, "lingersNs": seconds // 5, "memoryKb": 90000.0,
+        "below": "shared", "blowup": 16.0, "callsOut": 10.0, "classCalls": [True, True], "cold": False,
+        "cores": cores, "depWindowNs": 5000 * ms, "entryKb": 8.0, "freshForNs": 0, "halt": "silent",
+        "idleNs": 30000 * ms, "lingersNs": 200 * ms, "memoryKb": 90000.0,
         "ownStats": ["core_use", "on_cores", "heap_share", "links"], "passesDeadline": True, "say": "silent",
-        "upstreams": 3, "worthWithout": [0.0] * len(lanes),
+        "upstreams": 3, "worthWithout": [0.6, 0.0],
     }
     facts.update(extra)
     return {
         "extra": facts,
-        "guarantees": {"coldNs": 10 * seconds, "drainGraceNs": 2 * seconds, "graceToAnswerNs": seconds // 10,
-                       "overloadFactor": 5.0, "overloadForNs": 3 * seconds, "startCapacity": 0.25},
-        "lanes": lanes, "limits": {"maxRetryAfterNs": seconds, "retryAfter": True}, "overShareWorth": 0.1,
-        "servers": 10, "tickNs": 5_000_000, "worthBy": "request",
+        "guarantees": {"coldNs": 18000 * ms, "drainGraceNs": 2500 * ms, "graceToAnswerNs": 100 * ms,
+                       "overloadFactor": 5.0, "overloadForNs": 3000 * ms, "startCapacity": 0.25},
+        "lanes": lanes, "limits": {"maxRetryAfterNs": 1000 * ms, "retryAfter": True}, "overShareWorth": 0.1,
+        "servers": 11, "tickNs": 5 * ms, "worthBy": "work",
     }
 
 
