--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,7 @@
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
 KEEP_CONN = 1
 OVERLOADED = 2
+MAX_PLAY_S = 110
 
 
 def now_ms():
@@ -112,7 +113,6 @@
         self.waiting = {}  # rid -> future of the reply to its call
         self.work_ms = lambda request: 20.0
         self.calls = lambda request: 0
-        self.mute = False  # reads commands and ignores them
         self.servers = []
         self.links = set()
 
@@ -609,19 +609,26 @@
 
 
 def main(play, folder):
-    """Runs `play(ledger, disrupted)`, which returns a list of violations, and exits with the case's code."""
-    ledger = Ledger(os.path.join(folder, "record.txt"))
+    """Runs `play(ledger, disrupted)`, which returns a list of violations, and exits with the case's code.
+
+    1: the rule was broken, 0: it held, 2: the case could not run, whatever the reason.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     disrupted = os.environ.get("TROUBLE", "1") != "0"
-    code = 2
+    code, ledger = 2, None
     try:
-        violations = asyncio.run(asyncio.wait_for(play(ledger, disrupted), 110))
+        ledger = Ledger(os.path.join(folder, "record.txt"))
+        violations = asyncio.run(asyncio.wait_for(play(ledger, disrupted), MAX_PLAY_S))
         for text in violations:
             ledger.line("violation: " + text)
         code = 1 if violations else 0
-        ledger.line(f"counts {ledger.counts}")
         print("broken: " + violations[0] if violations else "held")
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        ledger.line(f"could not run: {error!r}")
+    except Exception as error:  # anything unexpected says nothing about the rule
         print(f"could not run: {error!r}")
-    ledger.close()
+        if ledger is not None:
+            ledger.line(f"could not run: {error!r}")
+    finally:
+        if ledger is not None:
+            ledger.line(f"counts {ledger.counts}")
+            ledger.close()
     sys.exit(code)
