Counters: one ledger of memory by owner, in the log when memory comes close to its limit

The counters had the bytes of results and the resident memory, and nothing that tells the mailbox, the task table, commands, replies, incomplete requests and the allocator apart. Change: a gauge for each of them; when the resident memory passes 85% of the limit, at most once a second, the line 'engine: memory close to its limit' and the counters of that moment.

--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -148,15 +148,20 @@
                 request: request_id,
                 deep,
             },
-            RequestTarget::Task(head, token) => EngineMessage::Request(Box::new(Request {
-                head,
-                token,
-                certificate: self.stream.certificate(),
-                body: request.body,
-                client: peer.clone(),
-                request: request_id,
-                received_at: self.received_not_before,
-            })),
+            RequestTarget::Task(head, token) => {
+                let (counters, body) = (&context.counters, request.body);
+                let queued = Request::gauge_part(counters, &head, token.as_deref(), &body);
+                EngineMessage::Request(Box::new(Request {
+                    head,
+                    token,
+                    certificate: self.stream.certificate(),
+                    body,
+                    client: peer.clone(),
+                    request: request_id,
+                    received_at: self.received_not_before,
+                    queued: Some(queued),
+                }))
+            }
             RequestTarget::Invalid { field } => {
                 context.record_malformed_request(field);
                 return Ok(false);
--- a/crates/asterdale-daemon/src/frontend/connection/unsent.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/unsent.rs
@@ -57,6 +57,10 @@
             last_progress_ms,
         });
         unsent.bytes.extend_from_slice(bytes);
+        context
+            .counters
+            .memory_unsent_replies
+            .add_amount(bytes.len());
         self.write_unsent(context)
     }
 
@@ -68,11 +72,12 @@
         let piece = io::IoSlice::new(&unsent.bytes[unsent.written..]);
         match self.stream.write(&mut [piece]) {
             Ok(()) => {
-                self.unsent = None;
+                self.discard_unsent(context);
                 true
             }
             Err((written, e)) if e.kind() == io::ErrorKind::WouldBlock => {
                 if written > 0 {
+                    context.counters.memory_unsent_replies.sub_amount(written);
                     unsent.record_written(written, context.now_ms());
                 }
                 unsent.release_written();
@@ -90,8 +95,17 @@
     }
 
     /// Drops unsent replies and shuts the socket down in both directions.
-    pub fn abort(&mut self) {
+    pub fn abort(&mut self, context: &ConnectionContext) {
         self.stream.shutdown(Shutdown::Both);
-        self.unsent = None;
+        self.discard_unsent(context);
+    }
+
+    fn discard_unsent(&mut self, context: &ConnectionContext) {
+        if let Some(unsent) = self.unsent.take() {
+            context
+                .counters
+                .memory_unsent_replies
+                .sub_amount(unsent.len());
+        }
     }
 }
--- a/crates/asterdale-daemon/src/frontend/context.rs
+++ b/crates/asterdale-daemon/src/frontend/context.rs
@@ -51,6 +51,9 @@
     pub fn update_buffered_bytes(&mut self, previous: usize, current: usize) -> bool {
         let grows = current > previous;
         self.buffered_bytes = self.buffered_bytes + current - previous;
+        let buffered = &self.counters.memory_partial_requests;
+        buffered.add_amount(current);
+        buffered.sub_amount(previous);
         !grows || self.buffered_bytes <= self.max_buffered_bytes
     }
 }
--- a/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
@@ -127,7 +127,13 @@
             self.settings.writer.clone(),
             self.settings.handle.commands(),
         );
-        let peer = Peer::new(number, stream.clone(), writer, commands);
+        let peer = Peer::new(
+            number,
+            stream.clone(),
+            writer,
+            commands,
+            self.context.counters.clone(),
+        );
         let mut connection = Connection::new(stream, peer, now_ms, not_before);
         // Most clients send their first request at once, so the connection is read without waiting for an event.
         connection.read_scheduled = true;
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -265,7 +265,7 @@
     /// Ends a connection whose client accepts nothing or is gone.
     fn abort(&mut self, number: u64) {
         if let Some(connection) = self.connections.get_mut(&number) {
-            connection.abort();
+            connection.abort(&self.context);
             // The engine's mailbox closes only when the process ends.
             let _ = self
                 .context
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
+use asterdale_engine::counters::Counters;
 use asterdale_engine::mailbox::MailboxSender;
 use asterdale_engine::message::{Connection, EngineMessage, Reply};
 use asterdale_fastcgi::Response;
@@ -21,6 +22,7 @@
     pub connection: u64,
     stream: Arc<ClientStream>,
     writer: Sender<OutgoingReply>,
+    counters: Arc<Counters>,
     /// Requests passed to the engine whose replies the writer has not started to write.
     open_requests: AtomicUsize,
     /// When the writer last wrote, in milliseconds since the frontend started.
@@ -55,11 +57,13 @@
         stream: Arc<ClientStream>,
         writer: Sender<OutgoingReply>,
         event_loop: MailboxSender<FrontendCommand>,
+        counters: Arc<Counters>,
     ) -> Arc<Peer> {
         Arc::new(Peer {
             connection,
             stream,
             writer,
+            counters,
             open_requests: AtomicUsize::new(0),
             last_write_ms: 0.into(),
             written_by_event_loop: false.into(),
@@ -89,16 +93,23 @@
         self.last_write_ms.load(Ordering::Relaxed)
     }
 
-    /// Queues a record that does not answer a request that was passed to the engine.
-    pub fn send_record(self: &Arc<Peer>, response: Response) {
+    fn queue(self: Arc<Peer>, response: Response, closes_request: bool) {
+        let queued = &self.counters.memory_queued_replies;
+        queued.add_amount(response.byte_count());
+        let writer = self.writer.clone();
         // The writer's thread runs until the process ends; without it no reply could be written anyway.
-        let _ = self.writer.send(OutgoingReply {
-            peer: self.clone(),
+        let _ = writer.send(OutgoingReply {
+            peer: self,
             response,
-            closes_request: false,
+            closes_request,
         });
     }
 
+    /// Queues a record that does not answer a request that was passed to the engine.
+    pub fn send_record(self: &Arc<Peer>, response: Response) {
+        self.clone().queue(response, false);
+    }
+
     /// Whether only the event loop may write to this peer.
     pub fn is_written_by_event_loop(&self) -> bool {
         self.written_by_event_loop.load(Ordering::Relaxed)
@@ -151,12 +162,6 @@
 
     /// Queues the reply for the writer. The queue is bounded by the number of open requests.
     fn answer(self: Arc<Peer>, request: u16, reply: Reply) {
-        let writer = self.writer.clone();
-        // The writer's thread runs until the process ends; without it no reply could be written anyway.
-        let _ = writer.send(OutgoingReply {
-            response: encode_reply(request, reply),
-            peer: self,
-            closes_request: true,
-        });
+        self.queue(encode_reply(request, reply), true);
     }
 }
--- a/crates/asterdale-daemon/src/frontend/tests.rs
+++ b/crates/asterdale-daemon/src/frontend/tests.rs
@@ -117,7 +117,7 @@
     server.set_nonblocking(true).unwrap();
     let (event_loop, commands) = mailbox::open(poll, Token(0)).unwrap();
     let stream = Arc::new(ClientStream::Plain(server));
-    let peer = Peer::new(1, stream, writer.clone(), event_loop);
+    let peer = Peer::new(1, stream, writer.clone(), event_loop, Arc::default());
     let client = listener.accept().unwrap().0;
     (peer, client, commands)
 }
--- a/crates/asterdale-daemon/src/frontend/writer.rs
+++ b/crates/asterdale-daemon/src/frontend/writer.rs
@@ -52,6 +52,11 @@
             let mut pieces: Vec<IoSlice<'_>> = pieces_of(replies).collect();
             peer.write(&mut pieces, &self.engine)
         };
+        let bytes = replies
+            .iter()
+            .map(|reply| reply.response.byte_count())
+            .sum();
+        self.counters.memory_queued_replies.sub_amount(bytes);
         if let Err(written) = written {
             // From now on all replies to this peer take the same path, so their order is kept.
             if peer.switch_to_event_loop() {
--- a/crates/asterdale-daemon/src/upgrade/relay.rs
+++ b/crates/asterdale-daemon/src/upgrade/relay.rs
@@ -154,20 +154,8 @@
     };
     Some(match payload {
         Payload::Request(frame) => {
-            let ResponseRoute {
-                connection,
-                request,
-            } = route(frame.route)?;
-            let head = request_head(&frame, class_count)?;
-            EngineMessage::Request(Box::new(Request {
-                head,
-                received_at: received_at(frame.unread_ms),
-                token: frame.token.map(Into::into),
-                certificate: None,
-                body: frame.body,
-                client: client(connection),
-                request,
-            }))
+            let route = route(frame.route)?;
+            relayed_request(frame, route, client(route.connection), class_count)?
         }
         Payload::HealthCheck(check) => {
             let ResponseRoute {
@@ -198,6 +186,25 @@
     })
 }
 
+/// A request that has arrived at the old process; `None` if it is malformed.
+fn relayed_request(
+    frame: RequestFrame,
+    route: ResponseRoute,
+    client: Arc<dyn Connection>,
+    class_count: usize,
+) -> Option<EngineMessage> {
+    Some(EngineMessage::Request(Box::new(Request {
+        head: request_head(&frame, class_count)?,
+        received_at: received_at(frame.unread_ms),
+        token: frame.token.map(Into::into),
+        certificate: None,
+        body: frame.body,
+        client,
+        request: route.request,
+        queued: None,
+    })))
+}
+
 /// Reads the head of a request; `None` if its id is malformed or its class unknown.
 fn request_head(frame: &RequestFrame, class_count: usize) -> Option<RequestHead> {
     let class = frame.request_class as usize;
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
 
 /// One counter.
 #[derive(Default)]
@@ -17,6 +18,14 @@
     pub fn sub(&self) {
         self.0.fetch_sub(1, Relaxed);
     }
+    /// Adds `amount` to a gauge.
+    pub fn add_amount(&self, amount: usize) {
+        self.0.fetch_add(amount as u64, Relaxed);
+    }
+    /// Subtracts `amount` from a gauge.
+    pub fn sub_amount(&self, amount: usize) {
+        self.0.fetch_sub(amount as u64, Relaxed);
+    }
     /// The value now.
     pub fn get(&self) -> u64 {
         self.0.load(Relaxed)
@@ -27,6 +36,35 @@
     }
 }
 
+/// Adds an amount to a gauge as long as it lives.
+pub struct GaugePart {
+    counters: Arc<Counters>,
+    gauge: fn(&Counters) -> &Count,
+    amount: usize,
+}
+
+impl GaugePart {
+    /// Adds `amount` to this gauge.
+    pub fn new(
+        counters: &Arc<Counters>,
+        gauge: fn(&Counters) -> &Count,
+        amount: usize,
+    ) -> GaugePart {
+        gauge(counters).add_amount(amount);
+        GaugePart {
+            counters: counters.clone(),
+            gauge,
+            amount,
+        }
+    }
+}
+
+impl Drop for GaugePart {
+    fn drop(&mut self) {
+        (self.gauge)(&self.counters).sub_amount(self.amount);
+    }
+}
+
 /// The resident memory of this process as Linux reports it, in KiB; 0 if it is not reported.
 pub fn resident_kib() -> usize {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -163,6 +201,22 @@
     idempotency_keys,
     /// The size of the results that are retained now, in bytes.
     result_bytes,
+    /// Bytes of incomplete requests and of large records that are being read.
+    memory_partial_requests,
+    /// Bytes of complete requests that wait in the engine's mailbox.
+    memory_queued_requests,
+    /// Bytes of the open tasks, without their commands to the runtime.
+    memory_tasks,
+    /// Bytes of the commands to the runtime that may have to be sent again.
+    memory_retained_commands,
+    /// Bytes of the commands that wait to be written to the runtime.
+    memory_queued_commands,
+    /// Bytes of the replies that wait for the writer.
+    memory_queued_replies,
+    /// Bytes of the replies that sockets have not accepted.
+    memory_unsent_replies,
+    /// Bytes of the idempotency entries, without their results.
+    memory_idempotency_entries,
     /// The resident memory of this process now, in KiB; 0 if the system does not report it.
     memory_kib,
 }
--- a/crates/asterdale-engine/src/engine/mod.rs
+++ b/crates/asterdale-engine/src/engine/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod cancellation;
+mod memory_watch;
 mod queued_events;
 mod settings;
 
@@ -14,6 +15,7 @@
 use asterdale::Server;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 
+use self::memory_watch::MemoryWatch;
 pub use self::settings::{EnginePorts, EngineSettings};
 pub use crate::clock::unix_ms;
 use crate::clock::Clock;
@@ -68,6 +70,7 @@
     pub(crate) warming_up_until: f64,
     /// When all requests must have been answered, once this process is draining.
     pub(crate) drain_deadline: Option<Instant>,
+    memory_watch: MemoryWatch,
     /// Whether the work has been handed over to another process, or is about to be.
     #[cfg(feature = "hot-restart")]
     pub(crate) paused: PausedState,
@@ -113,6 +116,7 @@
             runtime_uptime_ms: None,
             warming_up_until: f64::INFINITY,
             drain_deadline: None,
+            memory_watch: MemoryWatch::new(init.memory_bytes),
             #[cfg(feature = "hot-restart")]
             paused: PausedState::default(),
         }
@@ -155,6 +159,7 @@
             }
             self.run_timers();
             let now = Instant::now();
+            self.watch_memory(now);
             if now >= next_sweep {
                 next_sweep = now + SWEEP_INTERVAL;
                 self.sweep();
@@ -291,6 +296,13 @@
         let (tasks, counters) = (&self.tasks, &self.tasks.counters);
         counters.idempotency_keys.set(tasks.idempotency.len());
         counters.result_bytes.set(tasks.idempotency.bytes());
+        counters.memory_tasks.set(tasks.memory_bytes());
+        counters
+            .memory_retained_commands
+            .set(tasks.retained_command_bytes());
+        counters
+            .memory_idempotency_entries
+            .set(tasks.idempotency.entry_bytes());
         counters.memory_kib.set(resident_kib());
         tasks.identity_gate.update_counters();
         slog::info!(tasks.log.lines, "counters: {}", counters);
--- a/crates/asterdale-engine/src/idempotency.rs
+++ b/crates/asterdale-engine/src/idempotency.rs
@@ -271,6 +271,11 @@
         self.entries.len()
     }
 
+    /// The upper bound of the memory of all entries without their results, in bytes.
+    pub fn entry_bytes(&self) -> usize {
+        self.entries.len() * ENTRY_BYTES
+    }
+
     /// The size of all results, in bytes.
     pub fn bytes(&self) -> usize {
         self.result_bytes
--- a/crates/asterdale-engine/src/message/engine.rs
+++ b/crates/asterdale-engine/src/message/engine.rs
@@ -8,7 +8,7 @@
 
 #[cfg(feature = "hot-restart")]
 use super::hot_restart::HotRestartStep;
-use super::links::RuntimeNotice;
+use super::links::{QueuedCommand, RuntimeNotice};
 use super::request::{Connection, Request, ResponseRoute, TaskId};
 
 /// A message to the engine.
@@ -29,7 +29,7 @@
     /// The connection with this number is closed.
     ConnectionClosed(u64),
     /// The link to the runtime is established, and accepts command lines through this channel.
-    RuntimeConnected(Sender<String>),
+    RuntimeConnected(Sender<QueuedCommand>),
     /// The link to the runtime is closed.
     RuntimeDisconnected,
     /// A notice from the runtime.
--- a/crates/asterdale-engine/src/message/links.rs
+++ b/crates/asterdale-engine/src/message/links.rs
@@ -2,9 +2,11 @@
 //! the key issuer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::request::{RequestId, TaskId};
+use crate::counters::{Counters, GaugePart};
 
 /// A call to the records service.
 pub struct Call {
@@ -51,6 +53,24 @@
     SetPaused(bool),
 }
 
+/// A command line that is queued for the runtime.
+pub struct QueuedCommand {
+    /// The line.
+    pub line: String,
+    _gauge: GaugePart,
+}
+
+impl QueuedCommand {
+    /// Counts this line as queued.
+    pub fn new(counters: &Arc<Counters>, line: String) -> QueuedCommand {
+        let bytes = line.capacity();
+        QueuedCommand {
+            line,
+            _gauge: GaugePart::new(counters, |counters| &counters.memory_queued_commands, bytes),
+        }
+    }
+}
+
 /// A notice from the runtime.
 #[derive(Debug, PartialEq)]
 pub enum RuntimeNotice {
--- a/crates/asterdale-engine/src/message/mod.rs
+++ b/crates/asterdale-engine/src/message/mod.rs
@@ -14,7 +14,8 @@
 #[cfg(feature = "ownership")]
 pub use links::CallFence;
 pub use links::{
-    Call, KeyRefresh, KeySource, RegistryCommand, RunOutcome, RuntimeLinkCommand, RuntimeNotice,
+    Call, KeyRefresh, KeySource, QueuedCommand, RegistryCommand, RunOutcome, RuntimeLinkCommand,
+    RuntimeNotice,
 };
 #[cfg(feature = "ownership")]
 pub use ports::OwnershipClient;
--- a/crates/asterdale-engine/src/message/request.rs
+++ b/crates/asterdale-engine/src/message/request.rs
@@ -6,6 +6,8 @@
 pub use asterdale_identity::Certificate;
 use asterdale_identity::DenialStatus;
 
+use crate::counters::{Counters, GaugePart};
+
 /// A request's id as edge nodes write it: 16 hexadecimal digits.
 pub type RequestId = [u8; 16];
 
@@ -100,9 +102,24 @@
     pub request: u16,
     /// The earliest time at which it can have arrived: everything that arrived earlier had been read by then.
     pub received_at: Instant,
+    /// Counts it as queued until the engine has made a task of it; `None` if another process has forwarded it.
+    pub queued: Option<GaugePart>,
 }
 
 impl Request {
+    /// The part of `memory_queued_requests` that a request with these parts is.
+    pub fn gauge_part(
+        counters: &Arc<Counters>,
+        head: &RequestHead,
+        token: Option<&[u8]>,
+        body: &Vec<u8>,
+    ) -> GaugePart {
+        let key = head.idempotency_key.as_ref();
+        let parts = key.map_or(0, |key| key.bytes.len()) + token.map_or(0, <[u8]>::len);
+        let bytes = size_of::<Request>() + body.capacity() + parts;
+        GaugePart::new(counters, |counters| &counters.memory_queued_requests, bytes)
+    }
+
     /// The route of its response.
     pub fn route(&self) -> ResponseRoute {
         ResponseRoute {
--- a/crates/asterdale-engine/src/runtime/mod.rs
+++ b/crates/asterdale-engine/src/runtime/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::counters::Counters;
 use crate::log::{error_chain, Log, LogLimit};
-use crate::message::{EngineMessage, RuntimeLinkCommand};
+use crate::message::{EngineMessage, QueuedCommand, RuntimeLinkCommand};
 use crate::vectored_write;
 
 /// The maximum number of command lines that are queued for writing. A runtime that leaves this many unread is
@@ -67,7 +67,7 @@
 /// The commands of one link, for the writer.
 struct WriterJob {
     stream: Arc<TcpStream>,
-    lines: Receiver<String>,
+    lines: Receiver<QueuedCommand>,
     /// Dropped when the writer is done with the link.
     done: Sender<()>,
 }
@@ -221,13 +221,13 @@
 }
 
 /// Writes a link's commands until the engine drops their sender, or a write fails.
-fn write_lines(stream: &TcpStream, lines: &Receiver<String>) {
+fn write_lines(stream: &TcpStream, lines: &Receiver<QueuedCommand>) {
     while let Ok(first) = lines.recv() {
         let mut batch = vec![first];
         batch.extend(lines.try_iter().take(MAX_BATCH_LINES - 1));
         let mut slices: Vec<IoSlice<'_>> = batch
             .iter()
-            .map(|line| IoSlice::new(line.as_bytes()))
+            .map(|command| IoSlice::new(command.line.as_bytes()))
             .collect();
         if vectored_write::write(stream, &mut slices).is_err() {
             break;
--- a/crates/asterdale-engine/src/runtime_events/link.rs
+++ b/crates/asterdale-engine/src/runtime_events/link.rs
@@ -6,7 +6,9 @@
 use super::{FLUSH_TAG, REPLAY_TAG};
 use crate::engine::Engine;
 use crate::log::LogLimit;
-use crate::message::{Endpoints, RegistryCommand, RequestId, RunOutcome, RuntimeLinkCommand};
+use crate::message::{
+    Endpoints, QueuedCommand, RegistryCommand, RequestId, RunOutcome, RuntimeLinkCommand,
+};
 use crate::runtime::protocol;
 use crate::tasks::TaskRecord;
 
@@ -60,10 +62,11 @@
     }
 
     /// Handles a new link.
-    pub(crate) fn runtime_connected(&mut self, commands: Sender<String>) {
+    pub(crate) fn runtime_connected(&mut self, commands: Sender<QueuedCommand>) {
         let link = &mut self.tasks.runtime;
         // If the link has already ended, `RuntimeDisconnected` follows.
-        let _ = commands.try_send(protocol::sync(link.last_notice));
+        let line = protocol::sync(link.last_notice);
+        let _ = commands.try_send(QueuedCommand::new(&self.tasks.counters, line));
         link.commands = Some(commands);
         link.is_replaying = true;
         link.is_ready = false;
@@ -97,7 +100,8 @@
         link.silent_ticks = 0;
         if let Some(commands) = &link.commands {
             // If the link has already ended, `RuntimeDisconnected` follows.
-            let _ = commands.try_send(protocol::gauges(REPLAY_TAG));
+            let line = protocol::gauges(REPLAY_TAG);
+            let _ = commands.try_send(QueuedCommand::new(&self.tasks.counters, line));
         }
     }
 
--- a/crates/asterdale-engine/src/tasks/commands.rs
+++ b/crates/asterdale-engine/src/tasks/commands.rs
@@ -4,6 +4,7 @@
 
 use super::record::SentCommand;
 use super::table::Tasks;
+use crate::message::QueuedCommand;
 
 impl Tasks {
     /// Sends a command about a task. A command that cannot be sent now is sent on the next link. `idempotent`: it may
@@ -29,7 +30,8 @@
         let (Some(commands), false) = (&self.runtime.commands, self.runtime.is_replaying) else {
             return false;
         };
-        let sent = commands.try_send(line).is_ok();
+        let command = QueuedCommand::new(&self.counters, line);
+        let sent = commands.try_send(command).is_ok();
         if !sent {
             // The runtime reads nothing. Dropping the sender of commands ends the link, and its actor makes a new one.
             self.runtime.commands = None;
--- a/crates/asterdale-engine/src/tasks/link.rs
+++ b/crates/asterdale-engine/src/tasks/link.rs
@@ -2,10 +2,12 @@
 
 use crossbeam_channel::Sender;
 
+use crate::message::QueuedCommand;
+
 /// The link to the runtime.
 pub struct RuntimeLink {
     /// Accepts command lines; `None` while there is no link.
-    pub commands: Option<Sender<String>>,
+    pub commands: Option<Sender<QueuedCommand>>,
     /// The notices missed by the last link are still being read: no command is sent yet.
     pub is_replaying: bool,
     /// The runtime has reported that it is up.
--- a/crates/asterdale-engine/src/tasks/record.rs
+++ b/crates/asterdale-engine/src/tasks/record.rs
@@ -100,6 +100,18 @@
 }
 
 impl TaskRecord {
+    /// The memory that it takes without its last command, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let key = self.idempotency_key.as_ref();
+        size_of::<TaskRecord>()
+            + self.body.capacity()
+            + key.map_or(0, |key| key.bytes.len())
+            + self
+                .pending_call
+                .as_ref()
+                .map_or(0, |call| call.body.capacity())
+    }
+
     /// The command line that starts its run.
     pub fn start_line(&self, settings: &Settings) -> String {
         let class = &settings.class_names[self.class];
--- a/crates/asterdale-engine/src/tasks/table.rs
+++ b/crates/asterdale-engine/src/tasks/table.rs
@@ -142,6 +142,19 @@
         self.slots.get_mut(task.index())?.as_mut()
     }
 
+    /// The memory of all tasks without their commands, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let records = self.slots.iter().flatten();
+        records.map(TaskRecord::memory_bytes).sum()
+    }
+
+    /// The memory of the commands that may have to be sent again, in bytes.
+    pub fn retained_command_bytes(&self) -> usize {
+        let records = self.slots.iter().flatten();
+        let commands = records.filter_map(|record| record.last_command.as_ref());
+        commands.map(|command| command.line.capacity()).sum()
+    }
+
     /// The fields that identify a task in a log line; empty for a task that has ended.
     pub fn log_fields(&self, task: Option<Handle>) -> LogFields {
         let Some(record) = task.and_then(|task| self.task(task)) else {
--- a/crates/asterdale-fastcgi/src/response.rs
+++ b/crates/asterdale-fastcgi/src/response.rs
@@ -62,6 +62,11 @@
         ]
     }
 
+    /// Its length, in bytes.
+    pub fn byte_count(&self) -> usize {
+        self.prefix.len() + self.body.len() + self.suffix.len()
+    }
+
     fn single_record(record: Vec<u8>) -> Response {
         Response {
             prefix: record,
