--- a/crates/asterdale-daemon/src/assembly/actors.rs
+++ b/crates/asterdale-daemon/src/assembly/actors.rs
@@ -28,6 +28,7 @@
             engine,
             counters,
             log,
+            ..
         } = context;
         runtime::run(address, &commands, &engine, &counters, &log);
     })?;
--- a/crates/asterdale-daemon/src/assembly/frontends.rs
+++ b/crates/asterdale-daemon/src/assembly/frontends.rs
@@ -69,6 +69,7 @@
         let ports = FrontendPorts {
             engine: context.engine.clone(),
             writer: sender,
+            request_memory: context.request_memory.clone(),
             counters: context.counters.clone(),
             log: context.log.clone(),
             started_at,
--- a/crates/asterdale-daemon/src/assembly/identity.rs
+++ b/crates/asterdale-daemon/src/assembly/identity.rs
@@ -42,6 +42,7 @@
                 engine,
                 counters,
                 log,
+                ..
             } = context.clone();
             spawn("issuer", move || {
                 issuer::fetch(source, seed, &commands, &engine, &counters, &log);
--- a/crates/asterdale-daemon/src/assembly/mod.rs
+++ b/crates/asterdale-daemon/src/assembly/mod.rs
@@ -15,6 +15,7 @@
 use asterdale_engine::counters::Counters;
 use asterdale_engine::engine::EngineSettings;
 use asterdale_engine::log::Log;
+use asterdale_engine::memory::MemoryAccount;
 use asterdale_engine::message::EngineMessage;
 use asterdale_engine::EnginePorts;
 use asterdale_identity::Identity;
@@ -36,6 +37,7 @@
 #[derive(Clone)]
 struct ActorContext {
     engine: Sender<EngineMessage>,
+    request_memory: Arc<MemoryAccount>,
     counters: Arc<Counters>,
     log: Log,
 }
@@ -52,6 +54,7 @@
     let (engine, mailbox) = bounded(ENGINE_MAILBOX_CAPACITY);
     let context = ActorContext {
         engine,
+        request_memory: MemoryAccount::new(start.memory.open_requests),
         counters: Arc::default(),
         log: log.clone(),
     };
@@ -87,6 +90,7 @@
         fleet: ownership_ports.fleet,
         #[cfg(any(feature = "fleet", feature = "journal"))]
         ownership: ownership_ports.ownership,
+        request_memory: context.request_memory.clone(),
         counters: context.counters.clone(),
         log: log.clone(),
     };
@@ -103,7 +107,7 @@
 fn engine_settings(start: StartSettings, identity: Option<Identity>) -> EngineSettings {
     EngineSettings {
         settings: start.settings,
-        memory_bytes: start.memory_bytes,
+        memory: start.memory,
         termination_grace_ms: start.stop_ms,
         endpoints: start.endpoints,
         identity,
--- a/crates/asterdale-daemon/src/frontend/command.rs
+++ b/crates/asterdale-daemon/src/frontend/command.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use asterdale_engine::memory::MemoryReservation;
 use asterdale_engine::message::Connection;
 
 /// A command to the event loop of one listener.
@@ -21,6 +22,8 @@
         peer: Arc<dyn Connection>,
         /// The bytes, in order.
         bytes: Vec<u8>,
+        /// The memory that is reserved for them.
+        memory: MemoryReservation,
     },
     /// A write to this connection failed. The engine has been notified.
     WriteFailed { connection: u64 },
--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -2,25 +2,25 @@
 
 use std::sync::Arc;
 
-use asterdale_engine::message::{EngineMessage, Reply, Request, ResponseRoute};
+use asterdale_engine::memory::{request_bytes, MemoryReservation, REPLY_BYTES};
+use asterdale_engine::message::{EngineMessage, Reply, Request, RequestHead, ResponseRoute};
 use asterdale_fastcgi::{
     end_request_response, protocol_status, unknown_type_response, values_response,
 };
 use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, ProtocolError, Response};
 
 use super::{Connection, ReadEnd};
+use crate::frontend::admitted_request::AdmittedRequest;
 use crate::frontend::context::ConnectionContext;
 use crate::frontend::peer::Peer;
 use crate::frontend::reply::encode_reply;
 use crate::frontend::request_head::{self, RequestTarget};
 
 /// Open requests that one connection may carry; set by the platform's protocol.
-const MAX_OPEN_REQUESTS: usize = 32;
+pub(super) const MAX_OPEN_REQUESTS: usize = 32;
 /// A connection ends after this many consecutive error replies and replies to management records. Edge nodes send
 /// nothing that leads to such replies; a client that repeats a malformed request without pause would keep a core busy.
 const MAX_CONSECUTIVE_ERROR_REPLIES: usize = 8;
-/// Input buffer that every connection has, in bytes. It is not counted as buffered input.
-const BASE_BUFFER_BYTES: usize = 8192;
 
 /// The result of processing one record.
 enum Processed {
@@ -62,12 +62,7 @@
                 return Some(ReadEnd::Finished);
             }
         }
-        let bytes = self
-            .incoming
-            .buffer_bytes()
-            .saturating_sub(BASE_BUFFER_BYTES)
-            + self.requests.pending_bytes();
-        (!self.set_buffered_bytes(context, bytes)).then_some(ReadEnd::OutOfMemory)
+        (!self.account_for_buffers(context)).then_some(ReadEnd::OutOfMemory)
     }
 
     fn process_event(
@@ -150,15 +145,21 @@
             },
             RequestTarget::Task(head, token) => {
                 let (counters, body) = (&context.counters, request.body);
+                let Some(mut memory) = reserve(peer, &head, token.as_deref(), &body) else {
+                    self.reject_for_memory(context, peer, request_id);
+                    return Ok(true);
+                };
+                let reply_memory = memory.split_off(REPLY_BYTES);
                 let queued = Request::gauge_part(counters, &head, token.as_deref(), &body);
                 EngineMessage::Request(Box::new(Request {
                     head,
                     token,
                     certificate: self.stream.certificate(),
                     body,
-                    client: peer.clone(),
+                    client: AdmittedRequest::new(peer.clone(), reply_memory),
                     request: request_id,
                     received_at: self.received_not_before,
+                    memory,
                     queued: Some(queued),
                 }))
             }
@@ -167,10 +168,39 @@
                 return Ok(false);
             }
         };
-        self.has_received_request = true;
-        peer.add_open_request();
+        self.add_open_request(peer);
         // The engine's mailbox closes only when the process ends.
         let _ = context.engine.send(message);
         Ok(true)
     }
+
+    fn add_open_request(&mut self, peer: &Peer) {
+        self.has_received_request = true;
+        peer.add_open_request();
+    }
+
+    /// Answers a valid request that there is no memory for. It counts as open until its reply is written, which bounds
+    /// the replies that are queued for one connection.
+    fn reject_for_memory(
+        &mut self,
+        context: &ConnectionContext,
+        peer: &Arc<Peer>,
+        request_id: u16,
+    ) {
+        self.add_open_request(peer);
+        let reply = context.reject_for_memory();
+        peer.answer_request(request_id, reply, MemoryReservation::default());
+    }
+}
+
+/// Reserves the memory of a request and its reply; `None` if there is none for it now.
+fn reserve(
+    peer: &Peer,
+    head: &RequestHead,
+    token: Option<&[u8]>,
+    body: &[u8],
+) -> Option<MemoryReservation> {
+    let key = head.idempotency_key.as_ref();
+    let other_parts = key.map_or(0, |key| key.bytes.len()) + token.map_or(0, <[u8]>::len);
+    peer.reserve(request_bytes(body.len(), other_parts) + REPLY_BYTES)
 }
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -13,19 +13,29 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use asterdale_fastcgi::{RecordReader, RequestAssembler};
+use asterdale_engine::memory::CONNECTION_BYTES;
+use asterdale_fastcgi::{RecordReader, RequestAssembler, DEFAULT_BUFFER_BYTES};
 
 use super::context::ConnectionContext;
 use super::peer::Peer;
 use super::stream::ClientStream;
+use dispatch::MAX_OPEN_REQUESTS;
 pub use outcome::{ReadEnd, ReadOutcome};
 use unsent::UnsentReplies;
 
 /// Once everything is answered, the socket is closed when the client has sent nothing for this long.
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Bytes of unsent replies beyond which nothing more is read from a client: one that sends requests and reads no
-/// replies must not fill the memory. About the size of a socket's send buffer.
-const MAX_UNSENT_BYTES: usize = 64 * 1024;
+/// replies must not fill the memory.
+const MAX_UNSENT_BYTES: usize = 4 * 1024;
+/// Upper bound of the memory of a queued reply that no memory is reserved for, in bytes: one without a body.
+const SHORT_REPLY_BYTES: usize = 192;
+/// Upper bound of the memory of a connection's own state, in bytes: in the event loop, its peer and its stream.
+const STATE_BYTES: usize = 1024;
+const _: () = assert!(
+    DEFAULT_BUFFER_BYTES + MAX_UNSENT_BYTES + MAX_OPEN_REQUESTS * SHORT_REPLY_BYTES + STATE_BYTES
+        <= CONNECTION_BYTES
+);
 
 enum Phase {
     /// Requests are read.
@@ -130,6 +140,16 @@
         self.last_read_ms.max(last_write_ms)
     }
 
+    /// Accounts for the memory of incomplete requests and of a buffer that is larger than every connection's. Returns
+    /// `false` if that of all connections then exceeds its bound.
+    fn account_for_buffers(&mut self, context: &mut ConnectionContext) -> bool {
+        let long_record_bytes = self
+            .incoming
+            .buffer_bytes()
+            .saturating_sub(DEFAULT_BUFFER_BYTES);
+        self.set_buffered_bytes(context, long_record_bytes + self.requests.pending_bytes())
+    }
+
     /// Accounts for `bytes` of buffered input. Returns `false` if the input of all connections then exceeds its bound.
     fn set_buffered_bytes(&mut self, context: &mut ConnectionContext, bytes: usize) -> bool {
         let fits = context.update_buffered_bytes(self.buffered_bytes, bytes);
@@ -149,6 +169,11 @@
             return ReadOutcome::Drained;
         }
         let had_partial_request = self.has_partial_request();
+        // The buffer may grow for the rest of a record, and the read may then find nothing.
+        self.incoming.prepare_read();
+        if !self.account_for_buffers(context) {
+            return ReadOutcome::Ended(ReadEnd::OutOfMemory);
+        }
         match self.stream.read(self.incoming.free_space()) {
             Ok(0) => ReadOutcome::Ended(ReadEnd::Finished),
             Ok(count) => {
--- a/crates/asterdale-daemon/src/frontend/connection/unsent.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/unsent.rs
@@ -4,6 +4,7 @@
 use std::net::Shutdown;
 use std::sync::Arc;
 
+use asterdale_engine::memory::MemoryReservation;
 use asterdale_engine::message;
 
 use super::Connection;
@@ -14,6 +15,8 @@
     /// Keeps the connection open.
     _peer: Arc<dyn message::Connection>,
     bytes: Vec<u8>,
+    /// The memory that is reserved for the replies among them.
+    memory: MemoryReservation,
     /// How many of `bytes` are written.
     written: usize,
     /// When the socket last accepted bytes, in milliseconds since the frontend started.
@@ -35,7 +38,9 @@
     fn release_written(&mut self) {
         if self.written > self.bytes.len() / 2 {
             self.bytes.drain(..self.written);
+            self.bytes.shrink_to_fit();
             self.written = 0;
+            self.memory.shrink_to(self.bytes.len());
         }
     }
 }
@@ -48,15 +53,19 @@
         context: &ConnectionContext,
         peer: Arc<dyn message::Connection>,
         bytes: &[u8],
+        memory: MemoryReservation,
     ) -> bool {
         let last_progress_ms = context.now_ms();
         let unsent = self.unsent.get_or_insert_with(|| UnsentReplies {
             _peer: peer,
             bytes: Vec::new(),
+            memory: MemoryReservation::default(),
             written: 0,
             last_progress_ms,
         });
+        unsent.bytes.reserve_exact(bytes.len());
         unsent.bytes.extend_from_slice(bytes);
+        unsent.memory.merge(memory);
         context
             .counters
             .memory_unsent_replies
--- a/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
@@ -133,6 +133,7 @@
             writer,
             commands,
             self.context.counters.clone(),
+            self.context.request_memory.clone(),
         );
         let mut connection = Connection::new(stream, peer, now_ms, not_before);
         // Most clients send their first request at once, so the connection is read without waiting for an event.
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale_engine::mailbox::MailboxReceiver;
+use asterdale_engine::memory::MemoryReservation;
 use asterdale_engine::message::{self, EngineMessage};
 use crossbeam_channel::Sender;
 use mio::unix::SourceFd;
@@ -193,7 +194,11 @@
             FrontendCommand::StopListening => self.stop_listening(),
             FrontendCommand::EndAnsweredConnections => self.end_all_when_answered(),
             FrontendCommand::SetAcceptPaused(paused) => self.set_accept_paused(paused),
-            FrontendCommand::WriteUnsent { peer, bytes } => self.write_unsent(peer, &bytes),
+            FrontendCommand::WriteUnsent {
+                peer,
+                bytes,
+                memory,
+            } => self.write_unsent(peer, &bytes, memory),
             FrontendCommand::WriteFailed { connection } => {
                 self.stop_reading(connection, ReadEnd::Finished);
             }
@@ -239,7 +244,12 @@
     }
 
     /// Takes over bytes that the writer could not write.
-    fn write_unsent(&mut self, peer: Arc<dyn message::Connection>, bytes: &[u8]) {
+    fn write_unsent(
+        &mut self,
+        peer: Arc<dyn message::Connection>,
+        bytes: &[u8],
+        memory: MemoryReservation,
+    ) {
         let number = peer.connection_id();
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
@@ -250,7 +260,7 @@
             Token(number as usize),
             Interest::READABLE | Interest::WRITABLE,
         );
-        if registered.is_err() || !connection.add_unsent(&self.context, peer, bytes) {
+        if registered.is_err() || !connection.add_unsent(&self.context, peer, bytes, memory) {
             self.abort(number);
         }
     }
--- a/crates/asterdale-daemon/src/frontend/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/mod.rs
@@ -10,6 +10,7 @@
 //! socket <- writer <- peer <- reply <- engine
 //! ```
 
+mod admitted_request;
 mod command;
 mod connection;
 mod context;
@@ -34,6 +35,7 @@
 use asterdale_engine::counters::Counters;
 use asterdale_engine::log::Log;
 use asterdale_engine::mailbox;
+use asterdale_engine::memory::{MemoryAccount, CONNECTION_BYTES};
 use asterdale_engine::message::EngineMessage;
 use crossbeam_channel::Sender;
 use mio::Poll;
@@ -50,9 +52,6 @@
 pub use tls::TlsAcceptor;
 pub use writer::Writer;
 
-/// Upper bound of the memory that one connection takes, in bytes: its own buffers and the kernel's buffers for its
-/// socket.
-const CONNECTION_BYTES: usize = 64 * 1024;
 /// Descriptors kept free for connections to the runtime, the records service and the registry, and for health checks.
 const RESERVED_DESCRIPTORS: usize = 64;
 /// Lower bound of [`max_idle_connections`], however few descriptors there are.
@@ -68,6 +67,8 @@
     pub engine: Sender<EngineMessage>,
     /// Receives replies to be written.
     pub writer: Sender<OutgoingReply>,
+    /// The memory that requests of all listeners have reserved.
+    pub request_memory: Arc<MemoryAccount>,
     pub counters: Arc<Counters>,
     pub log: Log,
     /// The origin of the frontends' and the writer's timestamps.
@@ -113,11 +114,12 @@
         settings: start.settings.clone(),
         identity_required: start.identity.is_some(),
         engine: ports.engine,
+        request_memory: ports.request_memory,
         counters: ports.counters,
         log: ports.log,
         max_connections: max_connections(start, listener_count),
         buffered_bytes: 0,
-        max_buffered_bytes: start.memory_bytes / 8 / listener_count,
+        max_buffered_bytes: start.memory.partial_requests / listener_count,
         max_deadline_ms: max_deadline_ms as u64,
         started_at: ports.started_at,
     }
@@ -130,12 +132,12 @@
 
 /// The upper bound of one listener's connections. Edge nodes open at most half as many connections as there are
 /// descriptors. Some of the other descriptors are for health checks, and [`RESERVED_DESCRIPTORS`] (fewer if the limit
-/// is low) for connections that this process opens. All connections together may take at most half of the memory.
+/// is low) for connections that this process opens. All connections together stay within their share of the memory.
 fn max_connections(start: &StartSettings, listener_count: usize) -> usize {
     (start.max_descriptors * 3 / 4)
         .min(start.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS))
         .max(start.max_descriptors / 2)
-        .min(start.memory_bytes / 2 / CONNECTION_BYTES)
+        .min(start.memory.connections / CONNECTION_BYTES)
         .div_euclid(listener_count)
         .max(1)
 }
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -7,6 +7,7 @@
 
 use asterdale_engine::counters::Counters;
 use asterdale_engine::mailbox::MailboxSender;
+use asterdale_engine::memory::{ConnectionMemory, MemoryAccount, MemoryReservation};
 use asterdale_engine::message::{Connection, EngineMessage, Reply};
 use asterdale_fastcgi::Response;
 use crossbeam_channel::Sender;
@@ -23,6 +24,8 @@
     stream: Arc<ClientStream>,
     writer: Sender<OutgoingReply>,
     counters: Arc<Counters>,
+    /// The memory that requests on this connection have reserved.
+    memory: Arc<ConnectionMemory>,
     /// Requests passed to the engine whose replies the writer has not started to write.
     open_requests: AtomicUsize,
     /// When the writer last wrote, in milliseconds since the frontend started.
@@ -48,6 +51,8 @@
     pub response: Response,
     /// Whether it answers a request that [`Peer::open_requests`] counts.
     pub closes_request: bool,
+    /// The memory that is reserved for it.
+    pub memory: MemoryReservation,
 }
 
 impl Peer {
@@ -58,12 +63,14 @@
         writer: Sender<OutgoingReply>,
         event_loop: MailboxSender<FrontendCommand>,
         counters: Arc<Counters>,
+        request_memory: Arc<MemoryAccount>,
     ) -> Arc<Peer> {
         Arc::new(Peer {
             connection,
             stream,
             writer,
             counters,
+            memory: ConnectionMemory::new(request_memory),
             open_requests: AtomicUsize::new(0),
             last_write_ms: 0.into(),
             written_by_event_loop: false.into(),
@@ -93,7 +100,19 @@
         self.last_write_ms.load(Ordering::Relaxed)
     }
 
-    fn queue(self: Arc<Peer>, response: Response, closes_request: bool) {
+    /// Reserves memory for a request; `None` if there is none for it now.
+    pub fn reserve(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.memory.reserve(bytes)
+    }
+
+    /// Answers a request that [`Peer::open_requests`] counts. The reply is queued for the writer, whose queue is bounded
+    /// by the number of open requests. `memory` is released once the reply is written.
+    pub fn answer_request(self: &Arc<Peer>, request: u16, reply: Reply, memory: MemoryReservation) {
+        self.clone()
+            .queue(encode_reply(request, reply), true, memory);
+    }
+
+    fn queue(self: Arc<Peer>, response: Response, closes_request: bool, memory: MemoryReservation) {
         let queued = &self.counters.memory_queued_replies;
         queued.add_amount(response.byte_count());
         let writer = self.writer.clone();
@@ -102,12 +121,14 @@
             peer: self,
             response,
             closes_request,
+            memory,
         });
     }
 
     /// Queues a record that does not answer a request that was passed to the engine.
     pub fn send_record(self: &Arc<Peer>, response: Response) {
-        self.clone().queue(response, false);
+        self.clone()
+            .queue(response, false, MemoryReservation::default());
     }
 
     /// Whether only the event loop may write to this peer.
@@ -142,11 +163,12 @@
         !self.written_by_event_loop.swap(true, Ordering::Relaxed)
     }
 
-    /// Passes these bytes to the event loop, which writes them.
-    pub fn send_unsent(self: &Arc<Peer>, bytes: Vec<u8>) {
+    /// Passes these bytes to the event loop, which writes them and then releases `memory`.
+    pub fn send_unsent(self: &Arc<Peer>, bytes: Vec<u8>, memory: MemoryReservation) {
         self.event_loop.send(FrontendCommand::WriteUnsent {
             peer: self.clone(),
             bytes,
+            memory,
         });
     }
 }
@@ -160,8 +182,7 @@
         self.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Queues the reply for the writer. The queue is bounded by the number of open requests.
     fn answer(self: Arc<Peer>, request: u16, reply: Reply) {
-        self.queue(encode_reply(request, reply), true);
+        self.answer_request(request, reply, MemoryReservation::default());
     }
 }
--- a/crates/asterdale-daemon/src/frontend/tests.rs
+++ b/crates/asterdale-daemon/src/frontend/tests.rs
@@ -1,28 +1,29 @@
 //! Tests of the frontend that need its private state: requests that arrive while a connection is ending, and replies
 //! that a client's socket does not accept at once.
 
+mod memory;
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use asterdale_engine::log::Log;
 use asterdale_engine::mailbox::{self, MailboxReceiver};
+use asterdale_engine::memory::MemoryAccount;
 use asterdale_engine::message::{EngineMessage, Frontends, Reply};
 use asterdale_fastcgi::Response;
-use crossbeam_channel::{bounded, unbounded, Sender};
+use crossbeam_channel::{unbounded, Sender};
 use mio::{Events, Poll, Token};
 use serde_json::json;
 
 use super::command::FrontendCommand;
 use super::peer::Peer;
 use super::stream::ClientStream;
-use super::{create, FrontendPorts, ListenerSettings, OutgoingReply, Writer};
+use super::{OutgoingReply, Writer};
 use crate::start::StartSettings;
-
-/// Bounds each wait of a test; far longer than any of them takes.
-const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+use support::{TestFrontend, TEST_TIMEOUT};
 
 /// A health check as an edge node sends it; its path is the one parameter.
 fn health_check(request: u8) -> Vec<u8> {
@@ -42,57 +43,23 @@
 }
 
 #[test]
-#[expect(
-    clippy::too_many_lines,
-    reason = "one scenario, read from top to bottom"
-)]
 fn request_sent_to_an_ending_connection_is_answered_while_another_is_open() {
-    let start = start_file();
-    let ((engine, mailbox), (writer, replies)) = (bounded(9), unbounded());
-    let (log, _guard) = Log::to_stderr("n", false, slog::Level::Info);
-    let listener = ListenerSettings {
-        address: start.listen,
-        first_connection: 0,
-        listener_count: 1,
-        #[cfg(feature = "tls")]
-        tls: None,
-    };
-    let started_at = Instant::now();
-    let ports = FrontendPorts {
-        engine: engine.clone(),
-        writer,
-        counters: Arc::default(),
-        log,
-        started_at,
-    };
-    let (handle, event_loop) = create(&start, listener, ports).unwrap();
-    let writer = Writer {
-        replies,
-        engine,
-        counters: Arc::default(),
-        started_at,
-    };
-    thread::spawn(move || writer.run());
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = socket.local_addr().unwrap();
-    thread::spawn(move || event_loop.run(socket));
-    let mut client = TcpStream::connect(address).unwrap();
-    client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    let next_message = || mailbox.recv_timeout(TEST_TIMEOUT).expect("a health check");
+    let frontend = TestFrontend::start(&start_file(), 9);
+    let mut client = frontend.connect();
 
     client.write_all(&health_check(1)).unwrap();
     let EngineMessage::HealthCheck {
         client: peer,
         request: 1,
         ..
-    } = next_message()
+    } = frontend.next_message()
     else {
         panic!("not the first health check")
     };
-    handle.end_answered_connections();
+    frontend.handle.end_answered_connections();
     thread::sleep(Duration::from_millis(20));
     client.write_all(&health_check(2)).unwrap();
-    let EngineMessage::HealthCheck { request: 2, .. } = next_message() else {
+    let EngineMessage::HealthCheck { request: 2, .. } = frontend.next_message() else {
         panic!("not the second health check")
     };
     (1..=2).for_each(|request| peer.clone().answer(request, Reply::Malformed));
@@ -117,7 +84,14 @@
     server.set_nonblocking(true).unwrap();
     let (event_loop, commands) = mailbox::open(poll, Token(0)).unwrap();
     let stream = Arc::new(ClientStream::Plain(server));
-    let peer = Peer::new(1, stream, writer.clone(), event_loop, Arc::default());
+    let peer = Peer::new(
+        1,
+        stream,
+        writer.clone(),
+        event_loop,
+        Arc::default(),
+        MemoryAccount::new(0),
+    );
     let client = listener.accept().unwrap().0;
     (peer, client, commands)
 }
--- /dev/null
+++ b/crates/asterdale-daemon/src/frontend/tests/memory.rs
@@ -0,0 +1,145 @@
+//! The memory that clients can fill: requests that wait for the engine, replies that wait for their clients, incomplete
+//! requests. The tests count bytes against the shares of the budget.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+
+use asterdale_engine::memory::{ConnectionMemory, MemoryAccount, MemoryReservation};
+use asterdale_engine::message::{Frontends, Reply};
+use asterdale_testkit::scripted::{
+    request, start_file_json, task_fields, unix_ms_text, unused_address, wait_until, EdgeConnection,
+};
+use crossbeam_channel::unbounded;
+use mio::{Events, Poll};
+use serde_json::json;
+
+use super::support::{TestFrontend, TEST_TIMEOUT};
+use super::{connected_peer, FrontendCommand, OutgoingReply, Writer};
+use crate::start::StartSettings;
+
+/// The platform's largest body, in bytes, and open requests of one connection.
+const BODY_BYTES: usize = 2048;
+const REQUESTS: u16 = 32;
+
+/// The smallest memory of the platform.
+fn start_file() -> StartSettings {
+    let address = unused_address();
+    let mut start = start_file_json(address, address, address, address);
+    start["limits"] = json!({"memory_mb": 32, "sockets": 512});
+    crate::start::parse(start.to_string().as_bytes(), None, None).unwrap()
+}
+
+/// A keyed request of the largest size, unlike any other.
+fn largest_request(client: usize, number: u16) -> Vec<u8> {
+    let (id, key) = (
+        format!("{client:08x}{number:08x}"),
+        format!("{client:064x}{number:064x}"),
+    );
+    let start = unix_ms_text();
+    let fields = task_fields(&id, &start, &[("HTTP_IDEMPOTENCY_KEY", &key)]);
+    request(number, "/v1/bid", &fields, &[7; BODY_BYTES])
+}
+
+/// Opens connections, and waits until all of them are accepted.
+fn connect_clients(frontend: &TestFrontend, count: usize) -> Vec<EdgeConnection<TcpStream>> {
+    let clients = (0..count)
+        .map(|_| EdgeConnection::new(frontend.connect()))
+        .collect();
+    wait_until("all connections", || {
+        frontend.handle.open_connections() == count
+    });
+    clients
+}
+
+/// Guards against requests that wait for the engine without a bound in bytes: a burst of them took the process over its
+/// memory limit.
+#[test]
+fn requests_that_wait_for_the_engine_stay_within_their_share_and_the_rest_is_rejected_at_once() {
+    const CLIENTS: usize = 100;
+    let start = start_file();
+    let frontend = TestFrontend::start(&start, 4096);
+    let mut clients = connect_clients(&frontend, CLIENTS);
+    for (index, client) in clients.iter_mut().enumerate() {
+        for number in 1..=REQUESTS {
+            client.send(&largest_request(index, number));
+        }
+    }
+    let sent = CLIENTS * usize::from(REQUESTS);
+    wait_until("all requests", || {
+        let rejected = frontend.counters.requests_over_memory.get() as usize;
+        frontend.mailbox.len() + rejected == sent
+    });
+
+    let share = start.memory.open_requests;
+    let queued_bytes = frontend.counters.memory_queued_requests.get() as usize;
+    assert!(queued_bytes <= share, "{queued_bytes} of {share}");
+    assert!(frontend.request_memory.used() <= share);
+    assert!(queued_bytes >= frontend.mailbox.len() * BODY_BYTES);
+
+    // No client is without an open request, and each gets all of its answers.
+    let mut open_requests = [0; CLIENTS];
+    for _ in 0..frontend.mailbox.len() {
+        let request = frontend.next_request();
+        open_requests[request.client.connection_id() as usize - 1] += 1;
+        request.answer(Reply::Failed);
+    }
+    for (client, open) in clients.iter_mut().zip(open_requests) {
+        let replies: Vec<_> = (0..REQUESTS)
+            .map(|_| client.read_response().expect("a reply to every request"))
+            .collect();
+        let rejected = replies.iter().filter(|reply| reply.status() == "503");
+        assert!(rejected
+            .clone()
+            .all(|reply| reply.head.contains("Retry-After-Ms: ")));
+        assert!(open >= 1);
+        assert_eq!(rejected.count() + open, usize::from(REQUESTS));
+    }
+    wait_until("the release of all memory", || {
+        frontend.request_memory.used() == 0
+    });
+    assert_eq!(frontend.counters.memory_queued_requests.get(), 0);
+}
+
+/// Guards against replies that are kept for a client that reads nothing, and are counted nowhere.
+#[test]
+fn the_memory_of_a_reply_is_reserved_until_its_client_has_accepted_it() {
+    const REPLIES: u16 = 400;
+    const BODY_BYTES: usize = 60_000;
+    const MAX_HEAD_BYTES: usize = 200;
+    let (mut poll, (writer, replies)) = (Poll::new().unwrap(), unbounded::<OutgoingReply>());
+    let (peer, client, commands) = connected_peer(&poll, &writer);
+    let account = MemoryAccount::new(usize::from(REPLIES) * BODY_BYTES);
+    let memory = ConnectionMemory::new(account.clone());
+    for number in 0..REPLIES {
+        let reserved = memory.reserve(BODY_BYTES).unwrap();
+        peer.add_open_request();
+        peer.answer_request(number, Reply::Served([7; BODY_BYTES].into()), reserved);
+    }
+    let writer = Writer {
+        replies,
+        engine: unbounded().0,
+        counters: Arc::default(),
+        started_at: std::time::Instant::now(),
+    };
+    std::thread::spawn(move || writer.run());
+    poll.poll(&mut Events::with_capacity(1), Some(TEST_TIMEOUT))
+        .unwrap();
+    // The writer has passed on what the socket did not accept; only that is still reserved, with some heads.
+    let (mut unsent, mut kept) = (Vec::new(), 0);
+    wait_until("all unsent replies", || {
+        for command in commands.take() {
+            let FrontendCommand::WriteUnsent { bytes, memory, .. } = command else {
+                panic!("the connection failed")
+            };
+            assert!(memory.bytes() + MAX_HEAD_BYTES * usize::from(REPLIES) >= bytes.len());
+            kept += bytes.len();
+            unsent.push(memory);
+        }
+        let reserved: usize = unsent.iter().map(MemoryReservation::bytes).sum();
+        kept > 0 && account.used() == reserved
+    });
+    assert!(account.used() < usize::from(REPLIES) * BODY_BYTES);
+    drop(unsent);
+    assert_eq!(account.used(), 0);
+    drop(client);
+}
--- a/crates/asterdale-daemon/src/frontend/writer.rs
+++ b/crates/asterdale-daemon/src/frontend/writer.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use asterdale_engine::counters::Counters;
+use asterdale_engine::memory::MemoryReservation;
 use asterdale_engine::message::EngineMessage;
 use crossbeam_channel::{Receiver, Sender};
 
@@ -35,14 +36,14 @@
             // The sort is stable: replies of one connection stay in order.
             batch.sort_by_key(|reply| reply.peer.connection);
             batch
-                .chunk_by(|one, next| one.peer.connection == next.peer.connection)
+                .chunk_by_mut(|one, next| one.peer.connection == next.peer.connection)
                 .for_each(|replies| self.write_to_one_peer(replies));
         }
     }
 
     /// Writes these replies, all to the same peer.
-    fn write_to_one_peer(&self, replies: &[OutgoingReply]) {
-        let peer = &replies[0].peer;
+    fn write_to_one_peer(&self, replies: &mut [OutgoingReply]) {
+        let peer = replies[0].peer.clone();
         let completed = replies.iter().filter(|reply| reply.closes_request).count();
         // Counted before the write: the client may send its next requests as soon as it has read these replies.
         peer.record_write(self.started_at.elapsed().as_millis() as u64, completed);
@@ -62,11 +63,16 @@
             if peer.switch_to_event_loop() {
                 self.counters.connections_slow.add();
             }
-            let unsent = pieces_of(replies)
+            let unsent: Vec<u8> = pieces_of(replies)
                 .flat_map(|piece| piece.to_vec())
                 .skip(written)
                 .collect();
-            peer.send_unsent(unsent);
+            let mut memory = MemoryReservation::default();
+            for reply in replies {
+                memory.merge(std::mem::take(&mut reply.memory));
+            }
+            memory.shrink_to(unsent.len());
+            peer.send_unsent(unsent, memory);
         }
     }
 }
--- a/crates/asterdale-daemon/src/start/limits.rs
+++ b/crates/asterdale-daemon/src/start/limits.rs
@@ -1,5 +1,6 @@
 //! Section `limits` of the start file: resource limits of this process.
 
+use asterdale_engine::memory::MemoryBudget;
 #[cfg(feature = "tools")]
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -24,24 +25,38 @@
 
 /// The limits after the check.
 pub struct Limits {
-    /// Memory, in bytes.
-    pub memory_bytes: usize,
+    /// Memory, in bytes; `None` if it is missing.
+    pub memory_bytes: Option<usize>,
     /// Maximum number of open file descriptors.
     pub max_descriptors: usize,
 }
 
-/// Checks the section. A missing value is reported and replaced by a small number.
+impl Limits {
+    /// Divides the memory. `configured_bytes` is what sections of the file set aside for state of their own. Reports a
+    /// limit that is too low; the result is empty then.
+    pub fn memory_budget(&self, configured_bytes: usize, faults: &mut Faults) -> MemoryBudget {
+        let Some(memory_bytes) = self.memory_bytes else {
+            return MemoryBudget::default();
+        };
+        MemoryBudget::new(memory_bytes, configured_bytes).unwrap_or_else(|e| {
+            faults.add("limits.memory_mb", e.to_string());
+            MemoryBudget::default()
+        })
+    }
+}
+
+/// Checks the section. A missing number of descriptors is reported and replaced by a small one.
 pub fn check(section: Option<LimitsSection>, faults: &mut Faults) -> Limits {
     let Some(section) = faults.require("limits", section) else {
         return Limits {
-            memory_bytes: 0,
+            memory_bytes: None,
             max_descriptors: 0,
         };
     };
-    let memory_mb = require_number(faults, "limits.memory_mb", section.memory_mb);
+    let memory_mb = faults.require("limits.memory_mb", section.memory_mb);
     let sockets = require_number(faults, "limits.sockets", section.sockets);
     Limits {
-        memory_bytes: (memory_mb * 1e6) as usize,
+        memory_bytes: memory_mb.map(|mb| (mb.0 * 1e6) as usize),
         max_descriptors: sockets as usize,
     }
 }
--- a/crates/asterdale-daemon/src/start/load.rs
+++ b/crates/asterdale-daemon/src/start/load.rs
@@ -107,6 +107,11 @@
     let fleet = check_fleet(file.fleet, is_hot_restart_enabled, faults);
     let ownership = check_ownership(file.ownership, fleet.is_some(), &settings, faults);
     let journal = check_journal(file.journal, is_hot_restart_enabled, &settings, faults);
+    let configured_bytes = ownership.as_ref().map_or(0, |section| section.max_bytes)
+        + journal
+            .as_ref()
+            .map_or(0, |section| section.max_memory_bytes);
+    let memory = limits.memory_budget(configured_bytes, faults);
     let identity = file
         .identity
         .and_then(|section| identity::check(section, seed, &settings, faults));
@@ -115,7 +120,7 @@
         listen,
         endpoints,
         stop_ms,
-        memory_bytes: limits.memory_bytes,
+        memory,
         max_descriptors: limits.max_descriptors,
         settings: Arc::new(settings),
         identity,
--- a/crates/asterdale-daemon/src/start/mod.rs
+++ b/crates/asterdale-daemon/src/start/mod.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use asterdale_engine::memory::MemoryBudget;
 use asterdale_engine::message::Endpoints;
 use asterdale_parameters::Settings;
 
@@ -47,8 +48,8 @@
     pub endpoints: Endpoints,
     /// The time from SIGTERM, which starts draining, to SIGKILL, in milliseconds.
     pub stop_ms: f64,
-    /// Memory limit of this process, in bytes.
-    pub memory_bytes: usize,
+    /// The shares of this process's memory limit.
+    pub memory: MemoryBudget,
     /// Maximum number of open file descriptors of this process.
     pub max_descriptors: usize,
     /// Parameters of the decisions.
--- a/crates/asterdale-daemon/src/start/tests.rs
+++ b/crates/asterdale-daemon/src/start/tests.rs
@@ -60,6 +60,12 @@
         ("seed", json!("xyz"), "seed"),
         ("stop_ms", json!(-1), "stop_ms"),
         ("limits", json!({"memory_mb": 192}), "limits.sockets"),
+        ("limits", json!({"sockets": 1024}), "limits.memory_mb"),
+        (
+            "limits",
+            json!({"memory_mb": 7, "sockets": 1024}),
+            "limits.memory_mb",
+        ),
         ("settings", json!([]), "settings.lanes"),
         (
             "settings",
--- a/crates/asterdale-daemon/src/upgrade/relay.rs
+++ b/crates/asterdale-daemon/src/upgrade/relay.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale::events::Outcome;
+use asterdale_engine::memory::MemoryReservation;
 use asterdale_engine::message::{
     Connection, EngineMessage, IdempotencyKey, Reply, Request, RequestHead, RequestId,
     ResponseRoute, TaskId,
@@ -202,6 +203,8 @@
         client,
         request: route.request,
         queued: None,
+        // The old process, which the request has arrived at, has reserved its memory.
+        memory: MemoryReservation::default(),
     })))
 }
 
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -137,6 +137,8 @@
     /// Requests that were answered `Overloaded`: more open requests than a connection may carry, or more idempotency
     /// keys than are retained.
     requests_overloaded,
+    /// Requests that were rejected because there was no memory for them; they are not among `tasks_taken`.
+    requests_over_memory,
     /// Requests that were discarded because a request with the same number was open.
     requests_duplicate,
     /// Runs that were started at the runtime.
@@ -203,6 +205,9 @@
     result_bytes,
     /// Bytes of incomplete requests and of large records that are being read.
     memory_partial_requests,
+    /// Bytes that open requests have reserved, from their last byte until their task is released and their reply is
+    /// written. The five gauges that follow are parts of it.
+    memory_open_requests,
     /// Bytes of complete requests that wait in the engine's mailbox.
     memory_queued_requests,
     /// Bytes of the open tasks, without their commands to the runtime.
--- a/crates/asterdale-engine/src/engine/admission.rs
+++ b/crates/asterdale-engine/src/engine/admission.rs
@@ -148,6 +148,7 @@
             ownership: arrived.ownership,
             pending_call: None,
             last_command: None,
+            _memory: request.memory,
         }
     }
 }
--- a/crates/asterdale-engine/src/engine/mod.rs
+++ b/crates/asterdale-engine/src/engine/mod.rs
@@ -21,9 +21,10 @@
 use crate::clock::Clock;
 use crate::counters::resident_kib;
 use crate::health_check::HealthCheck;
-use crate::idempotency::IdempotencyTable;
+use crate::idempotency::{IdempotencyLimits, IdempotencyTable};
 use crate::identity_gate::IdentityGate;
 use crate::mailbox::MailboxSender;
+use crate::memory::MemoryAccount;
 use crate::message::{
     Endpoints, EngineMessage, FleetView, LocalStatus, RegistryCommand, RuntimeLinkCommand, TaskId,
 };
@@ -71,6 +72,7 @@
     /// When all requests must have been answered, once this process is draining.
     pub(crate) drain_deadline: Option<Instant>,
     memory_watch: MemoryWatch,
+    request_memory: Arc<MemoryAccount>,
     /// Whether the work has been handed over to another process, or is about to be.
     #[cfg(feature = "hot-restart")]
     pub(crate) paused: PausedState,
@@ -89,7 +91,11 @@
         let tasks = Tasks::new(TasksInit {
             now: clock.now(),
             settings: init.settings,
-            idempotency: IdempotencyTable::new(init.memory_bytes, longest_deadline_ms, seed),
+            idempotency: IdempotencyTable::new(
+                IdempotencyLimits::from(&init.memory),
+                longest_deadline_ms,
+                seed,
+            ),
             identity_gate: IdentityGate::new(init.identity, ports.issuer, &ports.counters),
             #[cfg(feature = "ownership")]
             ownership: OwnershipTable::new(ports.ownership),
@@ -116,7 +122,8 @@
             runtime_uptime_ms: None,
             warming_up_until: f64::INFINITY,
             drain_deadline: None,
-            memory_watch: MemoryWatch::new(init.memory_bytes),
+            request_memory: ports.request_memory,
+            memory_watch: MemoryWatch::new(init.memory.total()),
             #[cfg(feature = "hot-restart")]
             paused: PausedState::default(),
         }
@@ -296,6 +303,9 @@
         let (tasks, counters) = (&self.tasks, &self.tasks.counters);
         counters.idempotency_keys.set(tasks.idempotency.len());
         counters.result_bytes.set(tasks.idempotency.bytes());
+        counters
+            .memory_open_requests
+            .set(self.request_memory.used());
         counters.memory_tasks.set(tasks.memory_bytes());
         counters
             .memory_retained_commands
--- a/crates/asterdale-engine/src/engine/settings.rs
+++ b/crates/asterdale-engine/src/engine/settings.rs
@@ -9,6 +9,7 @@
 use crate::counters::Counters;
 use crate::log::Log;
 use crate::mailbox::MailboxSender;
+use crate::memory::{MemoryAccount, MemoryBudget};
 #[cfg(feature = "ownership")]
 use crate::message::OwnershipClient;
 use crate::message::{
@@ -33,6 +34,8 @@
     /// The ownership replicas, where ownership is replicated.
     #[cfg(feature = "ownership")]
     pub ownership: Option<Arc<dyn OwnershipClient>>,
+    /// The memory that open requests have reserved.
+    pub request_memory: Arc<MemoryAccount>,
     /// Counters.
     pub counters: Arc<Counters>,
     /// The log.
@@ -43,8 +46,8 @@
 pub struct EngineSettings {
     /// Settings of the policies.
     pub settings: Arc<Settings>,
-    /// The memory of this process, in bytes.
-    pub memory_bytes: usize,
+    /// The shares of this process's memory.
+    pub memory: MemoryBudget,
     /// The time from the signal to shut down until the process is killed, in milliseconds.
     pub termination_grace_ms: f64,
     /// The addresses of the services.
--- a/crates/asterdale-engine/src/idempotency.rs
+++ b/crates/asterdale-engine/src/idempotency.rs
@@ -7,14 +7,12 @@
 
 use siphasher::sip::SipHasher13;
 
+use crate::memory::MemoryBudget;
 use crate::message::{IdempotencyKey, TaskId};
 
-/// Cached results may use a quarter of the process's memory.
-const RESULT_MEMORY_DIVISOR: usize = 4;
-/// Entries may use an eighth of the process's memory.
-const ENTRY_MEMORY_DIVISOR: usize = 8;
-/// The maximum size of an entry without its result, in bytes.
-const ENTRY_BYTES: usize = 512;
+/// The maximum size of an entry without its result, in bytes: its key, its place in a table that has just grown, and the
+/// allocator's overhead for key and result.
+const ENTRY_BYTES: usize = 576;
 
 /// The state of a retained task.
 #[derive(Clone, Debug)]
@@ -64,13 +62,31 @@
     entries: Vec<(IdempotencyKey, Entry)>,
 }
 
+/// The bounds of a table.
+#[derive(Clone, Copy, Debug)]
+pub struct IdempotencyLimits {
+    /// The size of all results, in bytes. Results beyond it are not cached: repeats of their requests fail, but never
+    /// run.
+    pub max_result_bytes: usize,
+    /// The number of entries.
+    pub max_entries: usize,
+}
+
+impl From<&MemoryBudget> for IdempotencyLimits {
+    fn from(budget: &MemoryBudget) -> IdempotencyLimits {
+        IdempotencyLimits {
+            max_result_bytes: budget.results,
+            max_entries: budget.idempotency_entries / ENTRY_BYTES,
+        }
+    }
+}
+
 /// The table. Times are the engine's, in milliseconds.
 pub struct IdempotencyTable {
     entries: HashMap<IdempotencyKey, Entry>,
     /// The size of all results.
     result_bytes: usize,
-    max_result_bytes: usize,
-    max_entries: usize,
+    limits: IdempotencyLimits,
     /// The longest time that a request may remain unread after its arrival, in milliseconds. Entries are retained for
     /// this long after the end of their window, because requests that arrived within the window may be read that late.
     max_unread_ms: f64,
@@ -78,15 +94,13 @@
 }
 
 impl IdempotencyTable {
-    /// An empty table for a process with this much memory. Results beyond their part of the memory are not cached:
-    /// repeats of their requests fail, but never run. `max_unread_ms` is the longest time that a request may remain
-    /// unread after its arrival. The secret makes the body digests unpredictable for clients.
-    pub fn new(memory_bytes: usize, max_unread_ms: f64, secret: u64) -> IdempotencyTable {
+    /// An empty table. `max_unread_ms` is the longest time that a request may remain unread after its arrival. The
+    /// secret makes the body digests unpredictable for clients.
+    pub fn new(limits: IdempotencyLimits, max_unread_ms: f64, secret: u64) -> IdempotencyTable {
         IdempotencyTable {
             entries: HashMap::new(),
             result_bytes: 0,
-            max_result_bytes: memory_bytes / RESULT_MEMORY_DIVISOR,
-            max_entries: memory_bytes / ENTRY_MEMORY_DIVISOR / ENTRY_BYTES,
+            limits,
             max_unread_ms,
             secret,
         }
@@ -94,7 +108,7 @@
 
     /// Whether the table has no capacity for another entry.
     pub fn is_full(&self) -> bool {
-        self.entries.len() >= self.max_entries
+        self.entries.len() >= self.limits.max_entries
     }
 
     /// The digest of a body. It depends on the secret, so that clients cannot construct two bodies with the same
@@ -206,7 +220,7 @@
             entry.window_end = result.as_ref().map_or(now, |_| now + fresh_ms);
         }
         entry.state = match result {
-            Some(result) if self.result_bytes + result.len() <= self.max_result_bytes => {
+            Some(result) if self.result_bytes + result.len() <= self.limits.max_result_bytes => {
                 self.result_bytes += result.len();
                 EntryState::Served(result)
             }
--- a/crates/asterdale-engine/src/idempotency/tests.rs
+++ b/crates/asterdale-engine/src/idempotency/tests.rs
@@ -21,8 +21,13 @@
     }
 }
 
+const LIMITS: IdempotencyLimits = IdempotencyLimits {
+    max_result_bytes: 2048,
+    max_entries: 2,
+};
+
 fn table() -> IdempotencyTable {
-    let mut table = IdempotencyTable::new(8192, 50.0, 7);
+    let mut table = IdempotencyTable::new(LIMITS, 50.0, 7);
     assert!(table.retain(key(), owner(1), 1000.0, None).is_empty());
     table
 }
@@ -106,7 +111,7 @@
 
 #[test]
 fn reads_serve_repeats_while_pending_and_for_a_while_after_success() {
-    let mut table = IdempotencyTable::new(8192, 50.0, 7);
+    let mut table = IdempotencyTable::new(LIMITS, 50.0, 7);
     table.retain(key(), owner(1), 20.0, Some(20.0));
     assert!(table.is_repeat(&key(), 500.0));
     table.complete(&key(), 1, 600.0, Some(vec![1].into()));
--- a/crates/asterdale-engine/src/lib.rs
+++ b/crates/asterdale-engine/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! Layers, from the lowest:
 //! - [`message`]: plain data types and port traits, which depend on no other module of the engine;
-//! - shared parts: [`counters`], [`log`], `clock`, [`vectored_write`], [`http`], `exchange`, [`mailbox`];
+//! - shared parts: [`counters`], [`log`], `clock`, [`memory`], [`vectored_write`], [`http`], `exchange`, [`mailbox`];
 //! - the links, one actor each: [`runtime`], [`records`], [`registry`], [`issuer`];
 //! - state: `idempotency`, `identity_gate`, `health_check`, `paused`, the state part of `ownership`;
 //! - `tasks`, the task table, and `access`, its identity checks;
@@ -24,6 +24,7 @@
 pub mod issuer;
 pub mod log;
 pub mod mailbox;
+pub mod memory;
 pub mod message;
 #[cfg(feature = "ownership")]
 mod ownership;
--- /dev/null
+++ b/crates/asterdale-engine/src/memory/mod.rs
@@ -0,0 +1,13 @@
+//! The memory of the process: one budget from which every bound in bytes derives, and accounts that count what is taken
+//! of a share and refuse what would exceed it.
+
+mod account;
+mod budget;
+mod request_cost;
+
+pub use account::{ConnectionMemory, MemoryAccount, MemoryReservation};
+pub use budget::{LimitTooLow, MemoryBudget, CONNECTION_BYTES};
+pub use request_cost::{request_bytes, MAX_REQUEST_BYTES, REPLY_BYTES};
+
+#[cfg(test)]
+mod tests;
--- a/crates/asterdale-engine/src/message/request.rs
+++ b/crates/asterdale-engine/src/message/request.rs
@@ -7,6 +7,7 @@
 use asterdale_identity::DenialStatus;
 
 use crate::counters::{Counters, GaugePart};
+use crate::memory::MemoryReservation;
 
 /// A request's id as edge nodes write it: 16 hexadecimal digits.
 pub type RequestId = [u8; 16];
@@ -102,6 +103,8 @@
     pub request: u16,
     /// The earliest time at which it can have arrived: everything that arrived earlier had been read by then.
     pub received_at: Instant,
+    /// The memory of this request and of its task.
+    pub memory: MemoryReservation,
     /// Counts it as queued until the engine has made a task of it; `None` if another process has forwarded it.
     pub queued: Option<GaugePart>,
 }
--- a/crates/asterdale-engine/src/ownership/takeover.rs
+++ b/crates/asterdale-engine/src/ownership/takeover.rs
@@ -8,6 +8,7 @@
 
 use super::record::{Claim, OwnedTask, OwnershipKey};
 use crate::engine::Engine;
+use crate::memory::MemoryReservation;
 use crate::message::{IdempotencyKey, RequestId, TaskId};
 use crate::tasks::TaskRecord;
 
@@ -64,6 +65,7 @@
             ownership: Some(ownership),
             pending_call: None,
             last_command: None,
+            _memory: MemoryReservation::default(),
         });
         if let Some(server) = &mut self.server {
             server.receive(self.tasks.now, arrival, &mut self.tasks);
--- a/crates/asterdale-engine/src/state_transfer/restore.rs
+++ b/crates/asterdale-engine/src/state_transfer/restore.rs
@@ -7,6 +7,7 @@
 
 use super::format::{TransferredLink, TransferredState, TransferredTask};
 use crate::engine::{Engine, EnginePorts, EngineSettings};
+use crate::memory::MemoryReservation;
 use crate::message::{Connection, Mirror, Responder};
 use crate::tasks::{TaskRecord, Tasks};
 
@@ -179,6 +180,7 @@
             ownership: None, // a process that can do a hot restart is not in a fleet
             pending_call: task.pending_call,
             last_command: task.last_command,
+            _memory: MemoryReservation::default(),
         });
         self.counters.tasks_taken.add();
         self.counters.tasks_open.add();
--- a/crates/asterdale-engine/src/state_transfer/tests.rs
+++ b/crates/asterdale-engine/src/state_transfer/tests.rs
@@ -16,6 +16,7 @@
 use crate::engine::{Engine, EnginePorts, EngineSettings};
 use crate::idempotency::EntryState;
 use crate::log::Log;
+use crate::memory::{MemoryAccount, MemoryBudget};
 use crate::message::{
     Connection, Endpoints, Frontends, IdempotencyKey, Reply, RequestId, ResponseRoute, TaskId,
 };
@@ -111,9 +112,10 @@
         registry: address,
         records: address,
     };
+    let memory = MemoryBudget::new(64 << 20, 0).unwrap();
     let engine_settings = EngineSettings {
         settings: Arc::new(settings()),
-        memory_bytes: 64 << 20,
+        memory,
         termination_grace_ms: 5000.0,
         endpoints,
         identity: Some(identity()),
@@ -131,6 +133,7 @@
         fleet: None,
         #[cfg(feature = "ownership")]
         ownership: None,
+        request_memory: MemoryAccount::new(memory.open_requests),
         counters,
         log,
     };
--- a/crates/asterdale-engine/src/tasks/record.rs
+++ b/crates/asterdale-engine/src/tasks/record.rs
@@ -5,6 +5,7 @@
 use asterdale_identity::{Caller, ConcurrencyPermit};
 use asterdale_parameters::Settings;
 
+use crate::memory::MemoryReservation;
 use crate::message::{IdempotencyKey, RequestId, Responder, TaskId};
 #[cfg(feature = "ownership")]
 use crate::ownership::OwnedTask;
@@ -97,6 +98,8 @@
     pub pending_call: Option<PendingCall>,
     /// The last command about it.
     pub last_command: Option<SentCommand>,
+    /// Its memory; empty for a task that did not arrive over a connection of this process.
+    pub _memory: MemoryReservation,
 }
 
 impl TaskRecord {
--- a/crates/asterdale-fastcgi/src/lib.rs
+++ b/crates/asterdale-fastcgi/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use error::ProtocolError;
 pub use params::Params;
-pub use record_reader::{Record, RecordReader};
+pub use record_reader::{Record, RecordReader, DEFAULT_BUFFER_BYTES};
 pub use request_assembler::{AssemblyEvent, CompleteRequest, RequestAssembler};
 pub use response::{end_request_response, unknown_type_response, values_response, Response};
 
--- a/crates/asterdale-fastcgi/src/record_reader.rs
+++ b/crates/asterdale-fastcgi/src/record_reader.rs
@@ -6,7 +6,7 @@
 pub(crate) const HEADER_BYTES: usize = 8;
 /// Size of the buffer while no larger record is expected, in bytes. One read of this size takes many of the platform's
 /// requests.
-const DEFAULT_BUFFER_BYTES: usize = 4 * 1024;
+pub const DEFAULT_BUFFER_BYTES: usize = 4 * 1024;
 /// The only protocol version of the specification.
 pub(crate) const VERSION: u8 = 1;
 
@@ -31,9 +31,8 @@
 }
 
 impl RecordReader {
-    /// The buffer space for the next read. The space is never empty, and is large enough for the rest of the record
-    /// whose header has been received. Call [`RecordReader::commit`] after the read.
-    pub fn free_space(&mut self) -> &mut [u8] {
+    /// Sets the buffer's size for the next read: large enough for the record whose header has been received.
+    pub fn prepare_read(&mut self) {
         self.buffer.copy_within(self.start..self.end, 0);
         self.end -= self.start;
         self.start = 0;
@@ -42,6 +41,11 @@
             self.buffer.resize(required_bytes, 0);
             self.buffer.shrink_to(required_bytes);
         }
+    }
+
+    /// The buffer space for the next read. The space is never empty. Call [`RecordReader::commit`] after the read.
+    pub fn free_space(&mut self) -> &mut [u8] {
+        self.prepare_read();
         &mut self.buffer[self.end..]
     }
 
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -34,6 +34,12 @@
     body_complete: bool,
 }
 
+/// The memory of an incomplete request without its parameters and body, in bytes: at most every second place of a table
+/// that has grown is free.
+const PENDING_REQUEST_BYTES: usize = 2 * size_of::<(u16, PendingRequest)>();
+/// A table of incomplete requests that is empty and has more places than this is freed.
+const KEPT_PLACES: usize = 7;
+
 /// The result of handling one record.
 #[derive(Debug, PartialEq, Eq)]
 pub enum AssemblyEvent {
@@ -70,7 +76,7 @@
 
     /// The memory that the incomplete requests take, in bytes.
     pub fn pending_bytes(&self) -> usize {
-        self.pending_bytes
+        self.pending_bytes + self.pending.len() * PENDING_REQUEST_BYTES
     }
 
     /// Handles the next record. A new request is answered as overloaded unless `accepts_request`.
@@ -151,7 +157,7 @@
         };
         if !pending.params_complete {
             pending.params_complete = content.is_empty();
-            pending.request.params.extend_from_slice(content);
+            append_exactly(&mut pending.request.params, content);
             self.pending_bytes += content.len();
         }
         self.complete_or_check_limit(request_id)
@@ -171,7 +177,7 @@
                 self.remove(request_id);
                 return Ok(AssemblyEvent::BodyTooLong(request_id));
             }
-            pending.request.body.extend_from_slice(content);
+            append_exactly(&mut pending.request.body, content);
             self.pending_bytes += content.len();
         }
         self.complete_or_check_limit(request_id)
@@ -199,10 +205,19 @@
     fn remove(&mut self, request_id: u16) -> Option<CompleteRequest> {
         let request = self.pending.remove(&request_id)?.request;
         self.pending_bytes -= request.params.len() + request.body.len();
+        if self.pending.is_empty() && self.pending.capacity() > KEPT_PLACES {
+            self.pending = HashMap::new();
+        }
         Some(request)
     }
 }
 
+/// Appends without spare capacity, which would stay allocated as long as the request.
+fn append_exactly(bytes: &mut Vec<u8>, content: &[u8]) {
+    bytes.reserve_exact(content.len());
+    bytes.extend_from_slice(content);
+}
+
 /// The event for a record of request id 0. Record types that belong to a request are ignored.
 fn management_event(record_type: u8, content: &[u8]) -> AssemblyEvent {
     match record_type {
