Frontend: a test that buffers of records that never end stay within their share

Cause: a buffer that had grown for a record whose rest never came was accounted for with the next byte only: 100 clients that send a header of 8 bytes each held 6 MB of a share of 2 MB, counted nowhere. Change: the test alone.

--- a/crates/asterdale-daemon/src/frontend/tests/memory.rs
+++ b/crates/asterdale-daemon/src/frontend/tests/memory.rs
@@ -6,6 +6,7 @@
 
 use asterdale_engine::memory::{ConnectionMemory, MemoryAccount, MemoryReservation};
 use asterdale_engine::message::{Frontends, Reply};
+use asterdale_fastcgi::record_type;
 use asterdale_testkit::scripted::{
     request, start_file_json, task_fields, unix_ms_text, unused_address, wait_until, EdgeConnection,
 };
@@ -40,6 +41,12 @@
     request(number, "/v1/bid", &fields, &[7; BODY_BYTES])
 }
 
+/// The header of a record with this much content, which does not follow.
+fn long_record_head(length: u16) -> Vec<u8> {
+    let [high, low] = length.to_be_bytes();
+    vec![1, record_type::PARAMS, 0, 9, high, low, 0, 0]
+}
+
 /// Opens connections, and waits until all of them are accepted.
 fn connect_clients(frontend: &TestFrontend, count: usize) -> Vec<EdgeConnection<TcpStream>> {
     let clients = (0..count)
@@ -143,3 +150,23 @@
     assert_eq!(account.used(), 0);
     drop(client);
 }
+
+/// Guards against buffers that have grown for a record whose rest never comes, and are counted nowhere.
+#[test]
+fn buffers_of_records_that_never_end_stay_within_their_share() {
+    const CLIENTS: usize = 100;
+    let start = start_file();
+    let frontend = TestFrontend::start(&start, 1);
+    let mut clients = connect_clients(&frontend, CLIENTS);
+    for client in &mut clients {
+        client.send(&long_record_head(u16::MAX));
+    }
+    let share = start.memory.partial_requests;
+    let kept = share / usize::from(u16::MAX);
+    wait_until("the end of those beyond the share", || {
+        frontend.counters.connections_over_memory.get() as usize >= CLIENTS - kept - 2
+    });
+    let buffered = frontend.counters.memory_partial_requests.get() as usize;
+    assert!(buffered <= share, "{buffered} of {share}");
+    assert!(buffered >= share / 2, "{buffered} of {share}");
+}
