Frontend: the largest incomplete requests give way, not the one that grows next

Change: at the bound the connections with the most buffered bytes end until the sum fits. Result: the new test, in which one connection sends the body of a request while others fill the share to the last byte, fails without the change (no request reaches the engine) and passes with it.

--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -140,6 +140,11 @@
         self.last_read_ms.max(last_write_ms)
     }
 
+    /// The memory of its incomplete requests, in bytes, as it was accounted for last.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes
+    }
+
     /// Accounts for the memory of incomplete requests and of a buffer that is larger than every connection's. Returns
     /// `false` if that of all connections then exceeds its bound.
     fn account_for_buffers(&mut self, context: &mut ConnectionContext) -> bool {
--- a/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use super::EventLoop;
-use crate::frontend::connection::{Connection, ReadOutcome, LINGER_TIMEOUT};
+use crate::frontend::connection::{Connection, ReadEnd, ReadOutcome, LINGER_TIMEOUT};
 
 /// A connection accepted less than this many milliseconds ago is not ended to reduce the number of idle ones, because
 /// its first request is probably still in transit.
@@ -39,6 +39,10 @@
                 continue;
             };
             match connection.read_while_ending(&mut self.context) {
+                ReadOutcome::Ended(ReadEnd::OutOfMemory) => {
+                    self.end_largest_partial_requests();
+                    self.ending.push(number);
+                }
                 ReadOutcome::Ended(end) => self.stop_reading(number, end),
                 ReadOutcome::Drained | ReadOutcome::More => self.ending.push(number),
             }
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -227,10 +227,27 @@
         match connection.read(&mut self.context) {
             ReadOutcome::More => self.read_queue.push_back(number),
             ReadOutcome::Drained => connection.read_scheduled = false,
+            ReadOutcome::Ended(ReadEnd::OutOfMemory) => {
+                self.end_largest_partial_requests();
+                self.read_queue.push_back(number);
+            }
             ReadOutcome::Ended(end) => self.stop_reading(number, end),
         }
     }
 
+    /// Ends the connections with the largest incomplete requests until those of all connections are within their bound.
+    /// The one that has exceeded the bound is seldom the one that fills it.
+    pub(super) fn end_largest_partial_requests(&mut self) {
+        while self.context.buffered_bytes > self.context.max_buffered_bytes {
+            let connections = self.connections.iter();
+            let largest = connections.max_by_key(|(_, connection)| connection.buffered_bytes());
+            let Some((&number, _)) = largest else {
+                return;
+            };
+            self.stop_reading(number, ReadEnd::OutOfMemory);
+        }
+    }
+
     fn run_timers(&mut self, now: Instant) {
         if !self.ending.is_empty() && now >= self.next_ending_read {
             self.next_ending_read = now + ENDING_READ_INTERVAL;
--- a/crates/asterdale-daemon/src/frontend/tests/memory.rs
+++ b/crates/asterdale-daemon/src/frontend/tests/memory.rs
@@ -6,7 +6,7 @@
 
 use asterdale_engine::memory::{ConnectionMemory, MemoryAccount, MemoryReservation};
 use asterdale_engine::message::{Frontends, Reply};
-use asterdale_fastcgi::record_type;
+use asterdale_fastcgi::{record_type, DEFAULT_BUFFER_BYTES};
 use asterdale_testkit::scripted::{
     request, start_file_json, task_fields, unix_ms_text, unused_address, wait_until, EdgeConnection,
 };
@@ -41,6 +41,10 @@
     request(number, "/v1/bid", &fields, &[7; BODY_BYTES])
 }
 
+/// The length of a record's header, in bytes, and that of a request's last record.
+const RECORD_HEAD_BYTES: usize = 8;
+const LAST_RECORD_BYTES: usize = 11;
+
 /// The header of a record with this much content, which does not follow.
 fn long_record_head(length: u16) -> Vec<u8> {
     let [high, low] = length.to_be_bytes();
@@ -170,3 +174,43 @@
     assert!(buffered <= share, "{buffered} of {share}");
     assert!(buffered >= share / 2, "{buffered} of {share}");
 }
+
+/// Guards against clients whose requests never end and cost another one its connection, because it is the next one whose
+/// incomplete request grows.
+#[test]
+fn the_largest_incomplete_requests_give_way_and_a_small_one_is_completed() {
+    let start = start_file();
+    let frontend = TestFrontend::start(&start, 1);
+    let mut sound = EdgeConnection::new(frontend.connect());
+    // A connection that has brought a request is not ended as silent, however slow the machine is.
+    sound.send(&largest_request(0, 1));
+    frontend.next_request().answer(Reply::Failed);
+    assert_eq!(sound.expect_status(1), "500");
+    let bytes = largest_request(0, 2);
+    let (begin, rest) = bytes.split_at(bytes.len() - BODY_BYTES);
+    let (body, end) = rest.split_at(rest.len() - LAST_RECORD_BYTES);
+    sound.send(begin);
+    let buffered = || frontend.counters.memory_partial_requests.get() as usize;
+    wait_until("half a request", || buffered() > 0);
+    // Clients whose records never end fill the share up to less than that request's body.
+    let share = start.memory.partial_requests;
+    let mut clients = Vec::new();
+    while share - buffered() >= BODY_BYTES / 2 {
+        let (before, room) = (buffered(), share - buffered());
+        let length = (room + DEFAULT_BUFFER_BYTES).min(u16::MAX.into()) - RECORD_HEAD_BYTES;
+        let mut client = EdgeConnection::new(frontend.connect());
+        client.send(&long_record_head(length as u16));
+        clients.push(client);
+        wait_until("a larger buffer", || buffered() > before);
+    }
+    sound.send(body);
+    wait_until("the end of a larger one", || {
+        frontend.counters.connections_over_memory.get() > 0
+    });
+    sound.send(end);
+    let request = frontend.next_request();
+    assert_eq!(request.body, [7; BODY_BYTES]);
+    request.answer(Reply::Failed);
+    assert_eq!(sound.expect_status(2), "500");
+    assert!(buffered() <= share);
+}
