Links: what the runtime and the records service send is bounded in bytes, not in messages

The engine's mailbox holds 4,096 notices of the runtime, each up to a line of 64 KiB, and responses of the records service of 64 KiB; incomplete responses take 128 KiB for each open call. None of it had a share of the memory. Found by reading, not seen in service. Change: a permit for its bytes goes with each notice and response to the engine; their actors read no further while too many are out. At the bound of incomplete responses the longest call ends as one that may have run. Each of the three has a third of the budget's share for the links. The end of a call is a message type of its own.

--- a/crates/asterdale-daemon/src/assembly/actors.rs
+++ b/crates/asterdale-daemon/src/assembly/actors.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use asterdale_engine::mailbox::MailboxSender;
+use asterdale_engine::memory::ByteSemaphore;
 #[cfg(any(feature = "fleet", feature = "journal"))]
 use asterdale_engine::message::OwnershipClient;
 use asterdale_engine::message::{FleetView, RegistryCommand, RuntimeLinkCommand};
@@ -15,6 +16,13 @@
 use crate::start::StartSettings;
 use crate::threads::spawn;
 
+/// The memory for each of what the engine has not handled of the runtime's notices, the same of the records service's
+/// responses, and incomplete responses, in bytes.
+fn link_bytes(start: &StartSettings) -> usize {
+    const BOUNDS: usize = 3;
+    start.memory.links / BOUNDS
+}
+
 /// Starts the link to the runtime. Returns the sender of its commands, which change the runtime's address.
 pub fn start_runtime_link(
     start: &StartSettings,
@@ -23,6 +31,7 @@
     // Unbounded, as no command may be dropped: the last one has the runtime's address. A reload sends one at most.
     let (sender, commands) = unbounded();
     let (address, context) = (start.endpoints.runtime, context.clone());
+    let received = ByteSemaphore::new(link_bytes(start));
     spawn("runtime", move || {
         let ActorContext {
             engine,
@@ -30,7 +39,7 @@
             log,
             ..
         } = context;
-        runtime::run(address, &commands, &engine, &counters, &log);
+        runtime::run(address, &commands, &engine, &received, &counters, &log);
     })?;
     Ok(sender)
 }
@@ -59,6 +68,7 @@
     let (records, call_actor) = records::new(
         start.endpoints.records,
         context.engine.clone(),
+        ByteSemaphore::new(link_bytes(start)),
         context.counters.clone(),
         context.log.clone(),
     )
--- a/crates/asterdale-daemon/src/upgrade/relay.rs
+++ b/crates/asterdale-daemon/src/upgrade/relay.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use asterdale::events::Outcome;
-use asterdale_engine::memory::MemoryReservation;
+use asterdale_engine::memory::{BytePermit, MemoryReservation};
 use asterdale_engine::message::{
-    Connection, EngineMessage, IdempotencyKey, Reply, Request, RequestHead, RequestId,
+    CallEnd, Connection, EngineMessage, IdempotencyKey, Reply, Request, RequestHead, RequestId,
     ResponseRoute, TaskId,
 };
 use asterdale_engine::state_transfer::{HotRestartStep, SuccessorLink};
@@ -177,12 +177,13 @@
                 EngineMessage::Abort(route)
             }
         }
-        Payload::CallEnded(call) => EngineMessage::CallEnded {
+        Payload::CallEnded(call) => EngineMessage::CallEnded(CallEnd {
             task: call.task_id,
             outcome: *OUTCOMES.get(call.outcome as usize)?,
             duration_ms: call.took_ms,
             body: call.body,
-        },
+            permit: BytePermit::default(),
+        }),
         _ => return None,
     })
 }
--- a/crates/asterdale-daemon/src/upgrade/tests/stored_frames.rs
+++ b/crates/asterdale-daemon/src/upgrade/tests/stored_frames.rs
@@ -233,17 +233,11 @@
         .skip(1 + replies().len() + mirrored_events().len());
     let mut next = || engine_message(stored.next().unwrap(), &writer, 2).unwrap();
     for expected in OUTCOMES {
-        let EngineMessage::CallEnded {
-            task: task_id,
-            outcome,
-            duration_ms: took_ms,
-            body,
-        } = next()
-        else {
+        let EngineMessage::CallEnded(end) = next() else {
             panic!("no outcome")
         };
         assert_eq!(
-            (task_id, outcome, took_ms, &body[..]),
+            (end.task, end.outcome, end.duration_ms, &end.body[..]),
             (77, expected, 41.5, &b"reply"[..])
         );
     }
--- a/crates/asterdale-engine/src/engine/mod.rs
+++ b/crates/asterdale-engine/src/engine/mod.rs
@@ -233,13 +233,8 @@
             EngineMessage::ConnectionClosed(connection) => self.abort_connection(connection),
             EngineMessage::RuntimeConnected(commands) => self.runtime_connected(commands),
             EngineMessage::RuntimeDisconnected => self.runtime_disconnected(),
-            EngineMessage::RuntimeNotice(notice) => self.runtime_notice(notice),
-            EngineMessage::CallEnded {
-                task,
-                outcome,
-                duration_ms,
-                body,
-            } => self.call_ended(task, outcome, duration_ms, &body),
+            EngineMessage::RuntimeNotice(notice, _) => self.runtime_notice(notice),
+            EngineMessage::CallEnded(end) => self.call_ended(&end),
             EngineMessage::KeySet(set) => self.adopt_key_set(&set),
             EngineMessage::Reloaded(endpoints, identity) => {
                 self.tasks.identity_gate.reload(identity, &self.tasks.log);
--- a/crates/asterdale-engine/src/exchange.rs
+++ b/crates/asterdale-engine/src/exchange.rs
@@ -50,6 +50,11 @@
         self.is_connected
     }
 
+    /// The bytes of the response that are received.
+    pub(crate) fn received_bytes(&self) -> usize {
+        self.response.len()
+    }
+
     /// Makes as much progress as possible without blocking. Returns the response once it is complete.
     ///
     /// # Errors
--- a/crates/asterdale-engine/src/http.rs
+++ b/crates/asterdale-engine/src/http.rs
@@ -41,6 +41,16 @@
 }
 
 impl ResponseBuffer {
+    /// The number of bytes that are received.
+    pub fn len(&self) -> usize {
+        self.received.len()
+    }
+
+    /// Whether nothing is received.
+    pub fn is_empty(&self) -> bool {
+        self.received.is_empty()
+    }
+
     /// Appends received bytes. Returns the response once it is complete; bytes after it are ignored.
     ///
     /// # Errors
--- a/crates/asterdale-engine/src/memory/mod.rs
+++ b/crates/asterdale-engine/src/memory/mod.rs
@@ -3,10 +3,12 @@
 
 mod account;
 mod budget;
+mod byte_semaphore;
 mod request_cost;
 
 pub use account::{ConnectionMemory, MemoryAccount, MemoryReservation};
 pub use budget::{LimitTooLow, MemoryBudget, CONNECTION_BYTES};
+pub use byte_semaphore::{BytePermit, ByteSemaphore};
 pub use request_cost::{request_bytes, MAX_REQUEST_BYTES, REPLY_BYTES};
 
 #[cfg(test)]
--- a/crates/asterdale-engine/src/message/engine.rs
+++ b/crates/asterdale-engine/src/message/engine.rs
@@ -8,6 +8,8 @@
 
 #[cfg(feature = "hot-restart")]
 use super::hot_restart::HotRestartStep;
+use crate::memory::BytePermit;
+
 use super::links::{QueuedCommand, RuntimeNotice};
 use super::request::{Connection, Request, ResponseRoute, TaskId};
 
@@ -32,19 +34,10 @@
     RuntimeConnected(Sender<QueuedCommand>),
     /// The link to the runtime is closed.
     RuntimeDisconnected,
-    /// A notice from the runtime.
-    RuntimeNotice(RuntimeNotice),
+    /// A notice from the runtime. The permit bounds the bytes of those that wait.
+    RuntimeNotice(RuntimeNotice, BytePermit),
     /// A call to the records service has ended.
-    CallEnded {
-        /// The task that made it.
-        task: TaskId,
-        /// How it ended.
-        outcome: Outcome,
-        /// How long it took, in milliseconds.
-        duration_ms: f64,
-        /// The response's body.
-        body: Vec<u8>,
-    },
+    CallEnded(CallEnd),
     /// A key set, as read from a file or fetched from the issuer.
     KeySet(Vec<u8>),
     /// The start file was reloaded. These addresses of the services and these identity settings apply from now on.
@@ -64,6 +57,20 @@
     PrintCounters,
 }
 
+/// The end of a call to the records service.
+pub struct CallEnd {
+    /// The task that made it.
+    pub task: TaskId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it took, in milliseconds.
+    pub duration_ms: f64,
+    /// The response's body.
+    pub body: Vec<u8>,
+    /// Bounds the bytes of the responses that wait for the engine.
+    pub permit: BytePermit,
+}
+
 /// The addresses of the services that the engine depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Endpoints {
--- a/crates/asterdale-engine/src/message/mod.rs
+++ b/crates/asterdale-engine/src/message/mod.rs
@@ -8,7 +8,7 @@
 mod ports;
 mod request;
 
-pub use engine::{Endpoints, EngineMessage};
+pub use engine::{CallEnd, Endpoints, EngineMessage};
 #[cfg(feature = "hot-restart")]
 pub use hot_restart::{HotRestartStep, Mirror, MirroredEvent, SuccessorLink};
 #[cfg(feature = "ownership")]
--- a/crates/asterdale-engine/src/records/mod.rs
+++ b/crates/asterdale-engine/src/records/mod.rs
@@ -18,10 +18,13 @@
 use crate::exchange::Exchange;
 use crate::log::{Log, LogLimit};
 use crate::mailbox::{self, MailboxReceiver, MailboxSender};
-use crate::message::{request_id_text, Call, EngineMessage};
+use crate::memory::ByteSemaphore;
+use crate::message::{request_id_text, Call, CallEnd, EngineMessage};
 
 /// The maximum timeout of a call, even if the policies allow more.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Incomplete responses up to this length, in bytes, are bounded by the number of open calls alone.
+const SHORT_RESPONSE_BYTES: usize = 8 * 1024;
 /// The poll token of the mailbox; the tokens of calls are the numbers below it.
 const MAILBOX: Token = Token(usize::MAX);
 /// The maximum number of events per poll; there are seldom more calls in flight.
@@ -45,6 +48,8 @@
     poll: Poll,
     mailbox: MailboxReceiver<AddressedCall>,
     engine: Sender<EngineMessage>,
+    /// Bounds the bytes of responses that the engine has not handled, and those of long incomplete ones.
+    received: Arc<ByteSemaphore>,
     counters: Arc<Counters>,
     log: Log,
     open: HashMap<usize, OpenCall>,
@@ -71,6 +76,7 @@
 pub fn new(
     address: SocketAddr,
     engine: Sender<EngineMessage>,
+    received: Arc<ByteSemaphore>,
     counters: Arc<Counters>,
     log: Log,
 ) -> io::Result<(Records, RecordsClientActor)> {
@@ -85,6 +91,7 @@
         poll,
         mailbox,
         engine,
+        received,
         counters,
         log,
         open: HashMap::new(),
@@ -188,7 +195,7 @@
             return Ok(());
         };
         match open.exchange.advance() {
-            Ok(None) => Ok(()),
+            Ok(None) => self.bound_incomplete_responses(),
             Ok(Some(response)) => self.end(number, response_outcome(&response), response.body),
             Err(e) => {
                 let outcome = if open.exchange.connected() {
@@ -201,6 +208,27 @@
         }
     }
 
+    /// Ends the calls with the longest incomplete responses until those of all calls are within their bound. A single
+    /// long response is bounded by its own limit.
+    fn bound_incomplete_responses(&mut self) -> Result<(), EngineEnded> {
+        loop {
+            let mut long_responses: Vec<_> = self
+                .open
+                .iter()
+                .map(|(&number, open)| (open.exchange.received_bytes(), number))
+                .filter(|&(bytes, _)| bytes > SHORT_RESPONSE_BYTES)
+                .collect();
+            let total: usize = long_responses.iter().map(|&(bytes, _)| bytes).sum();
+            if long_responses.len() < 2 || total <= self.received.limit() {
+                return Ok(());
+            }
+            long_responses.sort_unstable();
+            if let Some((_, longest)) = long_responses.pop() {
+                self.end(longest, Outcome::Reset, Vec::new())?;
+            }
+        }
+    }
+
     /// Ends an open call and closes its connection. This is the only place where open calls end.
     fn end(&mut self, number: usize, outcome: Outcome, body: Vec<u8>) -> Result<(), EngineEnded> {
         let Some(open) = self.open.remove(&number) else {
@@ -212,12 +240,17 @@
 
     fn report_end(&self, call: &Call, outcome: Outcome, body: Vec<u8>) -> Result<(), EngineEnded> {
         let duration_ms = call.requested_at.elapsed().as_secs_f64() * 1000.0;
-        let ended = EngineMessage::CallEnded {
+        let end = CallEnd {
             task: call.task,
             outcome,
             duration_ms,
+            permit: self.received.acquire(body.len()),
             body,
         };
+        let ended = EngineMessage::CallEnded(end);
         self.engine.send(ended).map_err(|_| EngineEnded)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/asterdale-engine/src/runtime/mod.rs
+++ b/crates/asterdale-engine/src/runtime/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::counters::Counters;
 use crate::log::{error_chain, Log, LogLimit};
+use crate::memory::ByteSemaphore;
 use crate::message::{EngineMessage, QueuedCommand, RuntimeLinkCommand};
 use crate::vectored_write;
 
@@ -59,6 +60,7 @@
     is_paused: bool,
     commands: &'a Receiver<RuntimeLinkCommand>,
     engine: &'a Sender<EngineMessage>,
+    received: &'a Arc<ByteSemaphore>,
     counters: &'a Counters,
     log: &'a Log,
     writer: Sender<WriterJob>,
@@ -72,11 +74,13 @@
     done: Sender<()>,
 }
 
-/// Maintains a link to this address, or to the address set by the last command, until the engine has ended.
+/// Maintains a link to this address, or to the address set by the last command, until the engine has ended. Reading
+/// pauses while the engine has not handled the bytes that `received` allows.
 pub fn run(
     address: SocketAddr,
     commands: &Receiver<RuntimeLinkCommand>,
     engine: &Sender<EngineMessage>,
+    received: &Arc<ByteSemaphore>,
     counters: &Arc<Counters>,
     log: &Log,
 ) {
@@ -85,6 +89,7 @@
         is_paused: false,
         commands,
         engine,
+        received,
         counters,
         log,
         writer: spawn_writer(counters, log),
@@ -176,7 +181,8 @@
                 Err(e) => return Ok(LinkError::Read(e)),
             }
             if let Some(notice) = protocol::parse(&line) {
-                self.send_to_engine(EngineMessage::RuntimeNotice(notice))?;
+                let permit = self.received.acquire(line.len());
+                self.send_to_engine(EngineMessage::RuntimeNotice(notice, permit))?;
                 continue;
             }
             self.counters.runtime_lines_malformed.add();
@@ -236,3 +242,6 @@
     // Ends the link for the reader as well. Fails if the reader has already shut it down.
     let _ = stream.shutdown(Shutdown::Both);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/asterdale-engine/src/runtime_events/notices.rs
+++ b/crates/asterdale-engine/src/runtime_events/notices.rs
@@ -7,7 +7,7 @@
 
 use crate::engine::Engine;
 use crate::log::LogLimit;
-use crate::message::{RequestId, RunOutcome, RuntimeNotice, TaskId};
+use crate::message::{CallEnd, RequestId, RunOutcome, RuntimeNotice, TaskId};
 use crate::runtime::protocol;
 use crate::tasks::PendingCall;
 
@@ -140,13 +140,8 @@
     }
 
     /// Handles the end of a call to the records service.
-    pub(crate) fn call_ended(
-        &mut self,
-        number: TaskId,
-        outcome: Outcome,
-        duration_ms: f64,
-        body: &[u8],
-    ) {
+    pub(crate) fn call_ended(&mut self, end: &CallEnd) {
+        let (number, outcome) = (end.task, end.outcome);
         if self.server.is_none() {
             return;
         }
@@ -169,10 +164,10 @@
             if record.pending_call.take().is_none() {
                 return;
             }
-            let line = protocol::give(&record.id, body);
+            let line = protocol::give(&record.id, &end.body);
             tasks.send_command(task, line, false);
         }
-        task.call_ended(server, tasks.now, outcome, duration_ms, tasks);
+        task.call_ended(server, tasks.now, outcome, end.duration_ms, tasks);
     }
 
     /// Logs when the records service becomes unreachable, and when it responds again.
--- a/crates/asterdale-engine/src/state_transfer/standby.rs
+++ b/crates/asterdale-engine/src/state_transfer/standby.rs
@@ -51,18 +51,15 @@
             EngineMessage::ConnectionClosed(connection) => {
                 successor.forward_abort(connection, None);
             }
-            EngineMessage::CallEnded {
-                task,
-                outcome,
-                duration_ms,
-                body,
-            } => successor.forward_call_result(task, outcome, duration_ms, &body),
+            EngineMessage::CallEnded(end) => {
+                successor.forward_call_result(end.task, end.outcome, end.duration_ms, &end.body);
+            }
             EngineMessage::Drain => self.paused.must_exit = true,
             EngineMessage::PrintCounters | EngineMessage::HotRestart(_) => return Some(message),
             // The new process has its own addresses, link and key sets.
             EngineMessage::RuntimeConnected(_)
             | EngineMessage::RuntimeDisconnected
-            | EngineMessage::RuntimeNotice(_)
+            | EngineMessage::RuntimeNotice(..)
             | EngineMessage::KeySet(_)
             | EngineMessage::Reloaded(..) => {}
             // A process that can do a hot restart is not in a fleet.
--- a/crates/asterdale-engine/src/state_transfer/steps.rs
+++ b/crates/asterdale-engine/src/state_transfer/steps.rs
@@ -71,7 +71,7 @@
         while self.tasks.runtime.commands.is_some() {
             let remaining = deadline.saturating_duration_since(Instant::now());
             match mailbox.recv_timeout(remaining) {
-                Ok(message @ EngineMessage::RuntimeNotice(_)) => self.dispatch(message, mailbox),
+                Ok(message @ EngineMessage::RuntimeNotice(..)) => self.dispatch(message, mailbox),
                 Ok(message) => self.paused.deferred.push(message),
                 Err(_) => break,
             }
--- a/crates/asterdale-engine/src/state_transfer/tests.rs
+++ b/crates/asterdale-engine/src/state_transfer/tests.rs
@@ -16,7 +16,7 @@
 use crate::engine::{Engine, EnginePorts, EngineSettings};
 use crate::idempotency::EntryState;
 use crate::log::Log;
-use crate::memory::{MemoryAccount, MemoryBudget};
+use crate::memory::{ByteSemaphore, MemoryAccount, MemoryBudget};
 use crate::message::{
     Connection, Endpoints, Frontends, IdempotencyKey, Reply, RequestId, ResponseRoute, TaskId,
 };
@@ -122,7 +122,10 @@
     };
     let counters = Arc::new(Counters::default());
     let (log, _) = Log::to_stderr("test", true, slog::Level::Critical);
-    let (records, _) = records::new(address, unbounded().0, counters.clone(), log.clone()).unwrap();
+    let received = ByteSemaphore::new(memory.links);
+    let (engine, _) = unbounded();
+    let (records, _) =
+        records::new(address, engine, received, counters.clone(), log.clone()).unwrap();
     let (registry, _) = mailbox::open(&mio::Poll::new().unwrap(), mio::Token(0)).unwrap();
     let ports = EnginePorts {
         records,
