A full idempotency table rejects with advice

Callers saw: once no more idempotency keys can be retained, keyed requests were refused with OVERLOADED, which carries no Retry-After: clients came again at once, and each attempt cost reading. Cause: the bound of the table was not given the same answer as the other bounds of memory. Change: 503 with a Retry-After in the upper half of the longest one, as for a request without memory; the same where the lookups of replicated ownership are at their bound.

--- a/crates/asterdale-daemon/src/frontend/context.rs
+++ b/crates/asterdale-daemon/src/frontend/context.rs
@@ -5,14 +5,11 @@
 
 use asterdale_engine::counters::Counters;
 use asterdale_engine::log::{Log, LogLimit};
-use asterdale_engine::memory::MemoryAccount;
+use asterdale_engine::memory::{spread_retry_after_ms, MemoryAccount};
 use asterdale_engine::message::{EngineMessage, Reply};
 use asterdale_parameters::Settings;
 use crossbeam_channel::Sender;
 
-/// Multiples of it modulo 1 are spread evenly.
-const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
-
 /// What all connections of one listener share. Owned by the listener's event loop.
 pub struct ConnectionContext {
     /// The service's settings, among them the request classes.
@@ -52,8 +49,7 @@
         }
     }
 
-    /// Counts and logs a request that there is no memory for. Returns its reply. Its advice is spread over the upper half
-    /// of the longest Retry-After, so that the clients of a burst do not all return together.
+    /// Counts and logs a request that there is no memory for. Returns its reply.
     pub fn reject_for_memory(&self) -> Reply {
         static NO_MEMORY: LogLimit = LogLimit::new();
         let rejected = &self.counters.requests_over_memory;
@@ -62,11 +58,10 @@
             slog::warn!(self.log.lines, "frontend: request rejected, no memory for it";
                 "reserved_bytes" => self.request_memory.used());
         }
-        let spread = (rejected.get() as f64 * GOLDEN_RATIO).fract();
         let max_ms = self.settings.decisions.max_retry_after_ms;
         Reply::Rejected {
             is_final: false,
-            retry_after_ms: (max_ms * (0.5 + 0.5 * spread)) as u64,
+            retry_after_ms: spread_retry_after_ms(max_ms, rejected.get()),
         }
     }
 
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -134,8 +134,8 @@
     signatures,
     /// Verified tokens that are cached now.
     tokens_cached,
-    /// Requests that were answered `Overloaded`: more open requests than a connection may carry, or more idempotency
-    /// keys than are retained.
+    /// Requests that were rejected by a bound: more open requests than a connection may carry, or more idempotency keys
+    /// than are retained.
     requests_overloaded,
     /// Requests that were rejected because there was no memory for them; they are not among `tasks_taken`.
     requests_over_memory,
--- a/crates/asterdale-engine/src/engine/admission.rs
+++ b/crates/asterdale-engine/src/engine/admission.rs
@@ -99,8 +99,7 @@
         let needs_entry = idempotency == Idempotency::Keyed && !arrived.is_repeat;
         if needs_entry && self.idempotency.is_full() {
             // Its entry could not be retained, so the request must not run.
-            self.counters.requests_overloaded.add();
-            return Err(Reply::Overloaded);
+            return Err(self.reject_for_full_table());
         }
         self.authorize(arrived.caller.as_deref(), head, arrived.is_repeat)
     }
--- a/crates/asterdale-engine/src/ownership/lookup.rs
+++ b/crates/asterdale-engine/src/ownership/lookup.rs
@@ -11,7 +11,7 @@
 use crate::message::{IdempotencyKey, Reply, Request, RequestHead, ResponseRoute};
 use crate::tasks::Tasks;
 
-/// The most pending requests to the replicas. Beyond that, keyed requests are answered `Overloaded`.
+/// The most pending requests to the replicas. Beyond that, keyed requests are rejected.
 const MAX_PENDING_REQUESTS: usize = 8192;
 
 impl Tasks {
@@ -60,8 +60,7 @@
             return request.client.discard_request();
         }
         if self.ownership.pending.len() >= MAX_PENDING_REQUESTS {
-            self.counters.requests_overloaded.add();
-            return request.answer(Reply::Overloaded);
+            return request.answer(self.reject_for_full_table());
         }
         let Some(idempotency_key) = request.head.idempotency_key.clone() else {
             return;
@@ -160,8 +159,7 @@
         );
         if is_known && !lock_is_ignored(verdict) {
             if tasks.idempotency.is_full() {
-                tasks.counters.requests_overloaded.add();
-                return request.answer(Reply::Overloaded);
+                return request.answer(tasks.reject_for_full_table());
             }
             tasks.record_remote_run(&request, idempotency_key, key, answer);
             return self.receive_looked_up(request);
--- a/crates/asterdale-engine/src/tasks/table.rs
+++ b/crates/asterdale-engine/src/tasks/table.rs
@@ -12,6 +12,7 @@
 use crate::idempotency::IdempotencyTable;
 use crate::identity_gate::IdentityGate;
 use crate::log::Log;
+use crate::memory::spread_retry_after_ms;
 use crate::message::{request_id_text, Frontends, Reply, RequestId, ResponseRoute, TaskId};
 #[cfg(feature = "hot-restart")]
 use crate::message::{IdempotencyKey, Mirror};
@@ -142,6 +143,17 @@
         self.slots.get_mut(task.index())?.as_mut()
     }
 
+    /// Counts a request that a table has no capacity for. Returns its reply: it never ran.
+    pub fn reject_for_full_table(&self) -> Reply {
+        let rejected = &self.counters.requests_overloaded;
+        rejected.add();
+        let max_ms = self.settings.decisions.max_retry_after_ms;
+        Reply::Rejected {
+            is_final: false,
+            retry_after_ms: spread_retry_after_ms(max_ms, rejected.get()),
+        }
+    }
+
     /// The memory of all tasks without their commands, in bytes.
     pub fn memory_bytes(&self) -> usize {
         let records = self.slots.iter().flatten();
