TLS: what is encrypted and unsent counts; a session's and a token's memory has its place in the budget

Replies to a TLS client that reads nothing wait encrypted in its session, which no bound saw: reading went on, and the session grew by every reply until the connection was given up after the longest deadline. A TLS connection takes a record of 16 KiB and its state beside what a plain one does, and the cache of verified tokens had no share. Found by reading, not seen in service. Change: encrypted bytes count among the unsent ones at which reading stops, and keep the memory of their replies.

--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -168,8 +168,8 @@
             return ReadOutcome::Drained;
         };
         let peer = peer.clone();
-        let too_many_unsent = |unsent: &UnsentReplies| unsent.len() > MAX_UNSENT_BYTES;
-        if self.unsent.as_ref().is_some_and(too_many_unsent) {
+        let unsent_bytes = self.unsent.as_ref().map_or(0, UnsentReplies::len);
+        if unsent_bytes + self.stream.unsent_bytes() > MAX_UNSENT_BYTES {
             // Reading continues once the socket has accepted the replies.
             return ReadOutcome::Drained;
         }
--- a/crates/asterdale-daemon/src/frontend/connection/unsent.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/unsent.rs
@@ -40,7 +40,6 @@
             self.bytes.drain(..self.written);
             self.bytes.shrink_to_fit();
             self.written = 0;
-            self.memory.shrink_to(self.bytes.len());
         }
     }
 }
@@ -90,6 +89,8 @@
                     unsent.record_written(written, context.now_ms());
                 }
                 unsent.release_written();
+                let kept_bytes = unsent.bytes.len() + self.stream.unsent_bytes();
+                unsent.memory.shrink_to(kept_bytes);
                 true
             }
             Err(_) => false,
--- a/crates/asterdale-daemon/src/frontend/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/mod.rs
@@ -35,6 +35,8 @@
 use asterdale_engine::counters::Counters;
 use asterdale_engine::log::Log;
 use asterdale_engine::mailbox;
+#[cfg(feature = "tls")]
+use asterdale_engine::memory::TLS_CONNECTION_BYTES;
 use asterdale_engine::memory::{MemoryAccount, CONNECTION_BYTES};
 use asterdale_engine::message::EngineMessage;
 use crossbeam_channel::Sender;
@@ -93,14 +95,14 @@
         max_idle_connections: max_idle_connections(start, listener.listener_count),
         idle_timeout_ms: start.settings.decisions.idle_timeout_ms as u64,
     };
-    let context = connection_context(start, listener.listener_count, ports);
+    let context = connection_context(start, &listener, ports);
     let event_loop = EventLoop::new(poll, commands, listener, context, settings);
     Ok((handle, event_loop))
 }
 
 fn connection_context(
     start: &StartSettings,
-    listener_count: usize,
+    listener: &ListenerSettings,
     ports: FrontendPorts,
 ) -> ConnectionContext {
     let max_deadline_ms = start
@@ -117,9 +119,9 @@
         request_memory: ports.request_memory,
         counters: ports.counters,
         log: ports.log,
-        max_connections: max_connections(start, listener_count),
+        max_connections: max_connections(start, listener),
         buffered_bytes: 0,
-        max_buffered_bytes: start.memory.partial_requests / listener_count,
+        max_buffered_bytes: start.memory.partial_requests / listener.listener_count,
         max_deadline_ms: max_deadline_ms as u64,
         started_at: ports.started_at,
     }
@@ -133,11 +135,25 @@
 /// The upper bound of one listener's connections. Edge nodes open at most half as many connections as there are
 /// descriptors. Some of the other descriptors are for health checks, and [`RESERVED_DESCRIPTORS`] (fewer if the limit
 /// is low) for connections that this process opens. All connections together stay within their share of the memory.
-fn max_connections(start: &StartSettings, listener_count: usize) -> usize {
+fn max_connections(start: &StartSettings, listener: &ListenerSettings) -> usize {
     (start.max_descriptors * 3 / 4)
         .min(start.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS))
         .max(start.max_descriptors / 2)
-        .min(start.memory.connections / CONNECTION_BYTES)
-        .div_euclid(listener_count)
+        .min(start.memory.connections / connection_bytes(listener))
+        .div_euclid(listener.listener_count)
         .max(1)
 }
+
+#[cfg(feature = "tls")]
+fn connection_bytes(listener: &ListenerSettings) -> usize {
+    if listener.tls.is_some() {
+        TLS_CONNECTION_BYTES
+    } else {
+        CONNECTION_BYTES
+    }
+}
+
+#[cfg(not(feature = "tls"))]
+fn connection_bytes(_: &ListenerSettings) -> usize {
+    CONNECTION_BYTES
+}
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -131,6 +131,11 @@
             .queue(response, false, MemoryReservation::default());
     }
 
+    /// Bytes of this peer's stream that are encrypted and that the socket has not accepted.
+    pub fn unsent_bytes(&self) -> usize {
+        self.stream.unsent_bytes()
+    }
+
     /// Whether only the event loop may write to this peer.
     pub fn is_written_by_event_loop(&self) -> bool {
         self.written_by_event_loop.load(Ordering::Relaxed)
--- a/crates/asterdale-daemon/src/frontend/stream.rs
+++ b/crates/asterdale-daemon/src/frontend/stream.rs
@@ -93,6 +93,15 @@
         }
     }
 
+    /// Bytes that must not be written again and that the socket has not accepted: encrypted ones.
+    pub fn unsent_bytes(&self) -> usize {
+        match self {
+            ClientStream::Plain(_) => 0,
+            #[cfg(feature = "tls")]
+            ClientStream::Tls(session) => session.unsent_bytes(),
+        }
+    }
+
     /// Whether the stream is unencrypted.
     pub fn is_plain(&self) -> bool {
         matches!(self, ClientStream::Plain(_))
--- a/crates/asterdale-daemon/src/frontend/tls/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/tls/mod.rs
@@ -50,8 +50,8 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         let mut state = ServerConnection::new(config).map_err(io::Error::other)?;
-        // Unsent replies are bounded by the open requests. A partially encrypted reply could not be withdrawn, so the
-        // session's buffer has no limit of its own.
+        // Unsent replies are bounded by the connection, which reads nothing while there are too many. A partially
+        // encrypted reply could not be withdrawn, so the session's buffer has no limit of its own.
         state.set_buffer_limit(None);
         Ok(TlsSession::new(stream, state))
     }
--- a/crates/asterdale-daemon/src/frontend/tls/session.rs
+++ b/crates/asterdale-daemon/src/frontend/tls/session.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Encrypted bytes that the socket has not accepted.
+    pub fn unsent_bytes(&self) -> usize {
+        lock(&self.unsent).len()
+    }
+
     /// Moves what the session has encrypted to the end of `unsent`.
     fn take_encrypted(&self, unsent: &mut Vec<u8>) -> io::Result<()> {
         let mut state = lock(&self.state);
--- a/crates/asterdale-daemon/src/frontend/writer.rs
+++ b/crates/asterdale-daemon/src/frontend/writer.rs
@@ -71,7 +71,7 @@
             for reply in replies {
                 memory.merge(std::mem::take(&mut reply.memory));
             }
-            memory.shrink_to(unsent.len());
+            memory.shrink_to(unsent.len() + peer.unsent_bytes());
             peer.send_unsent(unsent, memory);
         }
     }
--- a/crates/asterdale-daemon/src/start/identity/mod.rs
+++ b/crates/asterdale-daemon/src/start/identity/mod.rs
@@ -22,6 +22,8 @@
 const DEFAULT_CACHED_TOKENS: u32 = 2048;
 /// The maximum size of the token cache, in tokens. Bounds its memory.
 const MAX_CACHED_TOKENS: u32 = 65_536;
+/// The memory of a cached token, in bytes: its caller's names, and places in the tables of verified and rejected tokens.
+const CACHED_TOKEN_BYTES: usize = 1024;
 /// The default limit of signature verifications per second for one edge node; they take a small part of one core.
 const DEFAULT_SIGNATURES_PER_EDGE_PER_S: f64 = 50.0;
 /// The default limit of signature verifications per second for all edge nodes together.
@@ -40,6 +42,13 @@
     pub key_source: KeySetSource,
 }
 
+impl IdentitySettings {
+    /// The memory of the token cache, in bytes.
+    pub fn cache_bytes(&self) -> usize {
+        self.parameters.cached_tokens * CACHED_TOKEN_BYTES
+    }
+}
+
 /// Where key sets come from.
 #[derive(Clone, Debug)]
 pub enum KeySetSource {
--- a/crates/asterdale-daemon/src/start/load.rs
+++ b/crates/asterdale-daemon/src/start/load.rs
@@ -13,7 +13,9 @@
 use super::file::StartFile;
 use super::value::Address;
 use super::{decisions, fleet, identity, journal, limits, ownership, tls, upgrade};
-use super::{FleetSettings, JournalSettings, OwnershipSettings, StartSettings, TlsSettings};
+use super::{
+    FleetSettings, IdentitySettings, JournalSettings, OwnershipSettings, StartSettings, TlsSettings,
+};
 
 /// The environment variable with the path of the start file.
 const FILE_VARIABLE: &str = "ROUTER_CONFIG";
@@ -107,14 +109,15 @@
     let fleet = check_fleet(file.fleet, is_hot_restart_enabled, faults);
     let ownership = check_ownership(file.ownership, fleet.is_some(), &settings, faults);
     let journal = check_journal(file.journal, is_hot_restart_enabled, &settings, faults);
+    let identity = file
+        .identity
+        .and_then(|section| identity::check(section, seed, &settings, faults));
     let configured_bytes = ownership.as_ref().map_or(0, |section| section.max_bytes)
         + journal
             .as_ref()
-            .map_or(0, |section| section.max_memory_bytes);
+            .map_or(0, |section| section.max_memory_bytes)
+        + identity.as_ref().map_or(0, IdentitySettings::cache_bytes);
     let memory = limits.memory_budget(configured_bytes, faults);
-    let identity = file
-        .identity
-        .and_then(|section| identity::check(section, seed, &settings, faults));
     StartSettings {
         name,
         listen,
--- a/crates/asterdale-daemon/tests/certificates.rs
+++ b/crates/asterdale-daemon/tests/certificates.rs
@@ -8,7 +8,7 @@
 
 use asterdale_identity::mint::{sign_jws, SecretKey};
 use asterdale_testkit::scripted::{
-    unused_address, wait_until, Backend, EdgeConnection, WAIT_TIMEOUT,
+    counter, request, unused_address, wait_until, Backend, EdgeConnection, WAIT_TIMEOUT,
 };
 use asterdale_testkit::unix_ms;
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair, SanType};
@@ -201,6 +201,67 @@
     assert_eq!(site.backend.runtime.try_next_command(), None);
 }
 
+/// Guards against a client that sends requests and reads no replies: what a session had encrypted for it was counted
+/// nowhere, and grew without a bound.
+#[test]
+fn nothing_more_is_read_from_a_client_that_reads_no_replies() {
+    const ROUNDS: u64 = 400;
+    // Fewer than may be open. One reading takes at least eight of them, and each health check takes the event loop
+    // around all connections and the writer past all replies before it.
+    const REQUESTS_PER_ROUND: u64 = 30;
+    const HEALTH_CHECKS_PER_ROUND: u16 = 10;
+    // Replies to all requests that may be open, with their heads, and the 4 KiB at which reading stops.
+    const MAX_UNSENT_BYTES: u64 = 4096 + 32 * 4608;
+    let clients = Authority::new();
+    let site = TestSite::new(&clients);
+    let certificate = clients.client_certificate("urn:edge-node:1");
+    let mut edge_node = site.connect(Some(&certificate));
+    // Otherwise the client's system holds requests back.
+    edge_node.stream.sock.set_nodelay(true).unwrap();
+    edge_node.send_task(1, "bid", ID_A, &[KEY]);
+    site.backend.runtime.expect_command("start");
+    site.backend.runtime.send_run_end(ID_A, "PASS", &[7; 4096]);
+    assert_eq!(edge_node.read_response().unwrap().body, [7; 4096]);
+    // Retries get the result at once. All of their replies are 49 MB, far more than the sockets buffer.
+    let mut other = site.connect(Some(&certificate));
+    let (mut sent, mut answered) = (0, 0);
+    for _ in 0..ROUNDS {
+        for _ in 0..REQUESTS_PER_ROUND {
+            sent += 1;
+            edge_node.send_task(sent as u16, "bid", ID_C, &[KEY]);
+        }
+        for number in 1..=HEALTH_CHECKS_PER_ROUND {
+            other.send(&request(number, "/healthz", &[], b""));
+            assert_eq!(other.expect_status(number), "200");
+        }
+        site.backend.counters_until(|_| true);
+        let log = site.backend.log();
+        answered = counter(&log, "tasks_joined") + counter(&log, "tasks_rejected");
+        if answered < sent {
+            break;
+        }
+    }
+    assert!(answered < sent, "{answered} of {sent}");
+    let unsent = counter(&site.backend.log(), "memory_open_requests");
+    assert!(unsent <= MAX_UNSENT_BYTES, "{unsent} bytes are kept for it");
+    // Each request has one answer once the client reads. The decisions may reject some, as it sends so many.
+    let mut joined = 0;
+    for _ in 0..sent {
+        let reply = edge_node.read_response().unwrap();
+        joined += u64::from(reply.status() == "200");
+        let is_complete = match reply.status() {
+            "200" => reply.body == [7; 4096],
+            status => status == "503",
+        };
+        assert!(is_complete, "{reply:?}");
+    }
+    site.backend.counters_until(|count| {
+        count("tasks_joined") == joined
+            && count("tasks_rejected") == sent - joined
+            && count("memory_open_requests") == 0
+    });
+}
+
 #[test]
 fn connections_without_a_valid_certificate_are_rejected_and_do_not_affect_others() {
     let (clients, others) = (Authority::new(), Authority::new());
--- a/crates/asterdale-engine/src/memory/budget.rs
+++ b/crates/asterdale-engine/src/memory/budget.rs
@@ -39,6 +39,10 @@
 /// reading stops, the refusals of as many requests as it may have open, and its state.
 pub const CONNECTION_BYTES: usize = 16 * 1024;
 
+/// Upper bound of the memory of one TLS connection, in bytes: beside the above, a record that is being received and the
+/// session's state.
+pub const TLS_CONNECTION_BYTES: usize = 48 * 1024;
+
 /// The shares of the memory limit, in bytes. Their sum does not exceed the limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MemoryBudget {
