Writer: what the socket does not accept is passed on in a function of its own

Cause: write_to_one_peer had grown with the memory of replies. Change: pass_to_event_loop takes its second half; the order of steps is the same.

--- a/crates/asterdale-daemon/src/frontend/writer.rs
+++ b/crates/asterdale-daemon/src/frontend/writer.rs
@@ -10,7 +10,7 @@
 use asterdale_engine::message::EngineMessage;
 use crossbeam_channel::{Receiver, Sender};
 
-use super::peer::OutgoingReply;
+use super::peer::{OutgoingReply, Peer};
 
 /// Upper bound of the replies that a batch contains after its first one. It bounds the memory of the gathered writes.
 const MAX_BATCH_REPLIES: usize = 256;
@@ -59,22 +59,28 @@
             .sum();
         self.counters.memory_queued_replies.sub_amount(bytes);
         if let Err(written) = written {
-            // From now on all replies to this peer take the same path, so their order is kept.
-            if peer.switch_to_event_loop() {
-                self.counters.connections_slow.add();
-            }
-            let unsent: Vec<u8> = pieces_of(replies)
-                .flat_map(|piece| piece.to_vec())
-                .skip(written)
-                .collect();
-            let mut memory = MemoryReservation::default();
-            for reply in replies {
-                memory.merge(std::mem::take(&mut reply.memory));
-            }
-            memory.shrink_to(unsent.len() + peer.unsent_bytes());
-            peer.send_unsent(unsent, memory);
+            self.pass_to_event_loop(&peer, replies, written);
         }
     }
+
+    /// Passes what the socket has not accepted to the event loop, after `written` bytes, with the memory of these
+    /// replies.
+    fn pass_to_event_loop(&self, peer: &Arc<Peer>, replies: &mut [OutgoingReply], written: usize) {
+        // From now on all replies to this peer take the same path, so their order is kept.
+        if peer.switch_to_event_loop() {
+            self.counters.connections_slow.add();
+        }
+        let unsent: Vec<u8> = pieces_of(replies)
+            .flat_map(|piece| piece.to_vec())
+            .skip(written)
+            .collect();
+        let mut memory = MemoryReservation::default();
+        for reply in replies {
+            memory.merge(std::mem::take(&mut reply.memory));
+        }
+        memory.shrink_to(unsent.len() + peer.unsent_bytes());
+        peer.send_unsent(unsent, memory);
+    }
 }
 
 fn pieces_of(replies: &[OutgoingReply]) -> impl Iterator<Item = IoSlice<'_>> {
