Counters: each connection that ends is counted by its reason, once

Cause: seven of the ways in which a connection ends had no counter: its client closed it, a request without KEEP_CONN, eight error replies in a row, a body that is too long, a failed write, the drain, a connection that could not be set up. Two counters had two reasons each.

Change: EndReason names the reasons; the first one of a connection is counted and logged. Nothing else changes.

--- a/crates/asterdale-daemon/src/frontend/connection/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/closing.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use asterdale_engine::log::LogLimit;
 use asterdale_engine::message::EngineMessage;
 
-use super::{Connection, Phase, ReadEnd, ReadOutcome, LINGER_TIMEOUT};
+use super::{Connection, EndReason, Phase, ReadOutcome, LINGER_TIMEOUT};
 use crate::frontend::context::ConnectionContext;
 
 /// A connection that is to end waits for the rest of a partial request until this many consecutive reads have found
@@ -42,19 +41,34 @@
                     return ReadOutcome::Drained;
                 }
                 self.stream.finish();
-                ReadOutcome::Ended(ReadEnd::Finished)
+                // The reason was recorded when the end was requested.
+                ReadOutcome::Ended(self.end_reason.unwrap_or(EndReason::ClientFinished))
             }
             outcome => outcome,
         }
     }
 
+    /// Records why the connection ends. Only the first reason counts.
+    pub fn record_end_reason(&mut self, context: &ConnectionContext, reason: EndReason) {
+        if self.end_reason.is_none() {
+            self.end_reason = Some(reason);
+            reason.record(&context.counters, &context.log);
+        }
+    }
+
     /// Stops reading. Open requests are still answered; when the last reference to the peer is dropped, the event loop
     /// is notified.
-    pub fn stop_reading(&mut self, context: &mut ConnectionContext, end: ReadEnd) {
+    pub fn stop_reading(&mut self, context: &mut ConnectionContext, reason: EndReason) {
         let Phase::Reading(peer) = &self.phase else {
             return;
         };
-        record_read_end(context, peer.connection, end);
+        if reason == EndReason::Broken {
+            // The engine's mailbox closes only when the process ends.
+            let _ = context
+                .engine
+                .send(EngineMessage::ConnectionClosed(peer.connection));
+        }
+        self.record_end_reason(context, reason);
         self.phase = Phase::Answering;
         (self.incoming, self.requests) = Default::default();
         self.set_buffered_bytes(context, 0);
@@ -89,35 +103,3 @@
         true
     }
 }
-
-/// Counts and logs why reading from a connection ended, and notifies the engine if the connection failed.
-fn record_read_end(context: &ConnectionContext, connection: u64, end: ReadEnd) {
-    static MALFORMED: LogLimit = LogLimit::new();
-    static OUT_OF_MEMORY: LogLimit = LogLimit::new();
-    let (counters, log) = (&context.counters, &context.log);
-    match end {
-        ReadEnd::Finished => {}
-        ReadEnd::Malformed(malformed) => {
-            counters.connections_malformed.add();
-            if log.allows(&MALFORMED) {
-                slog::warn!(log.lines, "frontend: connection ended, malformed input"; "error" => %malformed);
-            }
-        }
-        ReadEnd::OutOfMemory => {
-            counters.connections_over_memory.add();
-            if log.allows(&OUT_OF_MEMORY) {
-                slog::warn!(
-                    log.lines,
-                    "frontend: connection ended, no memory for its partial requests"
-                );
-            }
-        }
-        ReadEnd::Broken => {
-            counters.connections_broken.add();
-            // The engine's mailbox closes only when the process ends.
-            let _ = context
-                .engine
-                .send(EngineMessage::ConnectionClosed(connection));
-        }
-    }
-}
--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -9,7 +9,7 @@
 };
 use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, ProtocolError, Response};
 
-use super::{Connection, ReadEnd};
+use super::{Connection, EndReason};
 use crate::frontend::admitted_request::AdmittedRequest;
 use crate::frontend::context::ConnectionContext;
 use crate::frontend::peer::Peer;
@@ -29,7 +29,7 @@
     /// A reply to be sent at once.
     Reply(Response),
     /// Reading from the connection ends.
-    End(ReadEnd),
+    End(EndReason),
 }
 
 impl Connection {
@@ -38,7 +38,7 @@
         &mut self,
         context: &mut ConnectionContext,
         peer: &Arc<Peer>,
-    ) -> Option<ReadEnd> {
+    ) -> Option<EndReason> {
         loop {
             let open = peer.open_requests() + self.requests.pending_count();
             let event = match self.incoming.next_record() {
@@ -50,7 +50,7 @@
             };
             let processed = match event {
                 Ok(event) => self.process_event(context, peer, event),
-                Err(malformed) => Processed::End(ReadEnd::Malformed(malformed)),
+                Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
             };
             match processed {
                 Processed::NoReply => continue,
@@ -59,10 +59,10 @@
             }
             self.consecutive_error_replies += 1;
             if self.consecutive_error_replies >= MAX_CONSECUTIVE_ERROR_REPLIES {
-                return Some(ReadEnd::Finished);
+                return Some(EndReason::RepeatedErrors);
             }
         }
-        (!self.account_for_buffers(context)).then_some(ReadEnd::OutOfMemory)
+        (!self.account_for_buffers(context)).then_some(EndReason::OutOfMemory)
     }
 
     fn process_event(
@@ -94,7 +94,7 @@
             AssemblyEvent::BodyTooLong(request_id) => {
                 context.record_malformed_request("body");
                 peer.send_record(encode_reply(request_id, Reply::Malformed));
-                Processed::End(ReadEnd::Finished)
+                Processed::End(EndReason::BodyTooLong)
             }
             AssemblyEvent::GetValues(requested) => Processed::Reply(values_response(
                 &requested,
@@ -118,9 +118,9 @@
                 self.consecutive_error_replies = 0;
                 Processed::NoReply
             }
-            Ok(true) => Processed::End(ReadEnd::Finished),
+            Ok(true) => Processed::End(EndReason::NotKept),
             Ok(false) => Processed::Reply(encode_reply(request_id, Reply::Malformed)),
-            Err(malformed) => Processed::End(ReadEnd::Malformed(malformed)),
+            Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
         }
     }
 
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -6,6 +6,7 @@
 
 mod closing;
 mod dispatch;
+mod end_reason;
 mod outcome;
 mod unsent;
 
@@ -20,7 +21,8 @@
 use super::peer::Peer;
 use super::stream::ClientStream;
 use dispatch::MAX_OPEN_REQUESTS;
-pub use outcome::{ReadEnd, ReadOutcome};
+pub use end_reason::EndReason;
+pub use outcome::ReadOutcome;
 use unsent::UnsentReplies;
 
 /// Once everything is answered, the socket is closed when the client has sent nothing for this long.
@@ -71,6 +73,8 @@
     consecutive_error_replies: usize,
     /// Whether the connection is to end as soon as all requests read from it are answered.
     pub end_requested: bool,
+    /// Why the connection ends, once that is known: the first reason.
+    end_reason: Option<EndReason>,
     /// Consecutive reads without input since `end_requested` was set.
     empty_reads_while_ending: usize,
     /// Whether the connection is in the event loop's queue of connections to be read.
@@ -100,6 +104,7 @@
             has_received_request: false,
             consecutive_error_replies: 0,
             end_requested: false,
+            end_reason: None,
             empty_reads_while_ending: 0,
             read_scheduled: false,
             unsent: None,
@@ -177,10 +182,11 @@
         // The buffer may grow for the rest of a record, and the read may then find nothing.
         self.incoming.prepare_read();
         if !self.account_for_buffers(context) {
-            return ReadOutcome::Ended(ReadEnd::OutOfMemory);
+            return ReadOutcome::Ended(EndReason::OutOfMemory);
         }
         match self.stream.read(self.incoming.free_space()) {
-            Ok(0) => ReadOutcome::Ended(ReadEnd::Finished),
+            Ok(0) if peer.has_write_failed() => ReadOutcome::Ended(EndReason::Broken),
+            Ok(0) => ReadOutcome::Ended(EndReason::ClientFinished),
             Ok(count) => {
                 self.record_read(context, count, had_partial_request);
                 match self.process_records(context, &peer) {
@@ -193,7 +199,7 @@
                 self.drained_at = Instant::now();
                 ReadOutcome::Drained
             }
-            Err(_) => ReadOutcome::Ended(ReadEnd::Broken),
+            Err(_) => ReadOutcome::Ended(EndReason::Broken),
         }
     }
 
--- a/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/accept.rs
@@ -61,6 +61,7 @@
             Accepted::Connection { stream, not_before } => {
                 self.context.counters.connections_accepted.add();
                 if let Err(e) = self.add_connection(stream, not_before) {
+                    self.context.counters.connections_setup_failed.add();
                     if self.context.log.allows(&ACCEPT_FAULT) {
                         slog::error!(self.context.log.lines, "frontend: connection setup failed"; "error" => %e);
                     }
--- a/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use super::EventLoop;
-use crate::frontend::connection::{Connection, ReadEnd, ReadOutcome, LINGER_TIMEOUT};
+use crate::frontend::connection::{Connection, EndReason, ReadOutcome, LINGER_TIMEOUT};
 
 /// A connection accepted less than this many milliseconds ago is not ended to reduce the number of idle ones, because
 /// its first request is probably still in transit.
@@ -14,16 +14,17 @@
     pub(super) fn end_all_when_answered(&mut self) {
         let all: Vec<u64> = self.connections.keys().copied().collect();
         for number in all {
-            self.end_when_answered(number);
+            self.end_when_answered(number, EndReason::Draining);
         }
     }
 
     /// Ends this connection as soon as all requests read from it are answered.
-    pub(super) fn end_when_answered(&mut self, number: u64) {
+    pub(super) fn end_when_answered(&mut self, number: u64, reason: EndReason) {
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
         };
         if !std::mem::replace(&mut connection.end_requested, true) && connection.is_reading() {
+            connection.record_end_reason(&self.context, reason);
             self.ending.push(number);
         }
     }
@@ -39,11 +40,11 @@
                 continue;
             };
             match connection.read_while_ending(&mut self.context) {
-                ReadOutcome::Ended(ReadEnd::OutOfMemory) => {
+                ReadOutcome::Ended(EndReason::OutOfMemory) => {
                     self.end_largest_partial_requests();
                     self.ending.push(number);
                 }
-                ReadOutcome::Ended(end) => self.stop_reading(number, end),
+                ReadOutcome::Ended(reason) => self.stop_reading(number, reason),
                 ReadOutcome::Drained | ReadOutcome::More => self.ending.push(number),
             }
         }
@@ -122,8 +123,7 @@
             idle.sort_unstable();
         }
         for &(.., number) in &idle[..excess] {
-            self.end_when_answered(number);
-            self.context.counters.connections_given_up.add();
+            self.end_when_answered(number, EndReason::GivenUp);
         }
     }
 }
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -22,7 +22,7 @@
 use mio::{Events, Interest, Poll, Token};
 
 use super::command::FrontendCommand;
-use super::connection::{Connection, ReadEnd, ReadOutcome};
+use super::connection::{Connection, EndReason, ReadOutcome};
 use super::context::ConnectionContext;
 use super::handle::FrontendHandle;
 use super::listener::{Listener, ListenerSettings};
@@ -170,7 +170,7 @@
             return;
         };
         if is_writable && !connection.write_unsent(&self.context) {
-            return self.abort(number);
+            return self.abort(number, EndReason::Broken);
         }
         if !connection.is_reading() {
             self.linger(number, Instant::now());
@@ -200,7 +200,7 @@
                 memory,
             } => self.write_unsent(peer, &bytes, memory),
             FrontendCommand::WriteFailed { connection } => {
-                self.stop_reading(connection, ReadEnd::Finished);
+                self.stop_reading(connection, EndReason::Broken);
             }
             FrontendCommand::PeerReleased { connection } => self.start_lingering(connection),
         }
@@ -227,11 +227,11 @@
         match connection.read(&mut self.context) {
             ReadOutcome::More => self.read_queue.push_back(number),
             ReadOutcome::Drained => connection.read_scheduled = false,
-            ReadOutcome::Ended(ReadEnd::OutOfMemory) => {
+            ReadOutcome::Ended(EndReason::OutOfMemory) => {
                 self.end_largest_partial_requests();
                 self.read_queue.push_back(number);
             }
-            ReadOutcome::Ended(end) => self.stop_reading(number, end),
+            ReadOutcome::Ended(reason) => self.stop_reading(number, reason),
         }
     }
 
@@ -244,7 +244,7 @@
             let Some((&number, _)) = largest else {
                 return;
             };
-            self.stop_reading(number, ReadEnd::OutOfMemory);
+            self.stop_reading(number, EndReason::OutOfMemory);
         }
     }
 
@@ -278,19 +278,19 @@
             Interest::READABLE | Interest::WRITABLE,
         );
         if registered.is_err() || !connection.add_unsent(&self.context, peer, bytes, memory) {
-            self.abort(number);
+            self.abort(number, EndReason::Broken);
         }
     }
 
     /// Stops reading from this connection.
-    fn stop_reading(&mut self, number: u64, end: ReadEnd) {
+    fn stop_reading(&mut self, number: u64, reason: EndReason) {
         if let Some(connection) = self.connections.get_mut(&number) {
-            connection.stop_reading(&mut self.context, end);
+            connection.stop_reading(&mut self.context, reason);
         }
     }
 
     /// Ends a connection whose client accepts nothing or is gone.
-    fn abort(&mut self, number: u64) {
+    fn abort(&mut self, number: u64, reason: EndReason) {
         if let Some(connection) = self.connections.get_mut(&number) {
             connection.abort(&self.context);
             // The engine's mailbox closes only when the process ends.
@@ -298,7 +298,7 @@
                 .context
                 .engine
                 .send(EngineMessage::ConnectionClosed(number));
-            self.stop_reading(number, ReadEnd::Finished);
+            connection.stop_reading(&mut self.context, reason);
         }
     }
 }
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -32,6 +32,8 @@
     last_write_ms: AtomicU64,
     /// Whether the socket's send buffer has ever been full. From then on, only the event loop writes.
     written_by_event_loop: AtomicBool,
+    /// Whether a write has failed, after which the stream is shut down.
+    write_failed: AtomicBool,
     event_loop: MailboxSender<FrontendCommand>,
 }
 
@@ -74,6 +76,7 @@
             open_requests: AtomicUsize::new(0),
             last_write_ms: 0.into(),
             written_by_event_loop: false.into(),
+            write_failed: false.into(),
             event_loop,
         })
     }
@@ -152,6 +155,7 @@
             Ok(()) => Ok(()),
             Err((written, e)) if e.kind() == io::ErrorKind::WouldBlock => Err(written),
             Err(_) => {
+                self.write_failed.store(true, Ordering::Release);
                 self.stream.shutdown(Shutdown::Both);
                 // The engine's mailbox closes only when the process ends.
                 let _ = engine.send(EngineMessage::ConnectionClosed(self.connection));
@@ -163,6 +167,11 @@
         }
     }
 
+    /// Whether a write has failed, so that the end of the stream is this process's own.
+    pub fn has_write_failed(&self) -> bool {
+        self.write_failed.load(Ordering::Acquire)
+    }
+
     /// From now on only the event loop writes. Returns whether this is the first time for this peer.
     pub fn switch_to_event_loop(&self) -> bool {
         !self.written_by_event_loop.swap(true, Ordering::Relaxed)
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -177,12 +177,28 @@
     connections_silent,
     /// Connections without open requests that were closed to make room for others.
     connections_given_up,
-    /// Connections that were closed as they sent malformed bytes.
+    /// Connections that were closed as they sent bytes that are not FastCGI.
     connections_malformed,
+    /// Connections that were closed as a part of a request arrived and its rest did not.
+    connections_stalled,
+    /// Connections that were closed after too many consecutive error replies.
+    connections_repeated_errors,
+    /// Connections that were closed as the body of a request was too long.
+    connections_body_too_long,
     /// Connections that were closed as their incomplete requests took too much memory.
     connections_over_memory,
-    /// Connections that a peer reset or stopped reading.
+    /// Connections that a peer reset.
     connections_broken,
+    /// Connections whose peer read no replies.
+    connections_send_stalled,
+    /// Connections whose peer sent nothing more and closed them.
+    connections_finished,
+    /// Connections that were closed as a request on them did not ask for them to be kept.
+    connections_not_kept,
+    /// Connections that were closed as this process drained.
+    connections_drained,
+    /// Connections that were closed at once as they could not be set up.
+    connections_setup_failed,
     /// Times that accepting paused for lack of descriptors.
     accept_pauses,
     /// Times that the system refused a descriptor for a connection, which then waited.
