Frontend: error replies and aborts no longer end the reading of a shared connection

Cause: process_records counted END_REQUESTs for aborted incomplete requests, OVERLOADED and 400 alike, and stopped reading at the eighth in a row, whatever was open. The connection lived on until the open requests were answered; what arrived meanwhile was dropped.

Change: each such record is answered or ignored by itself. What it costs is taken from a budget of the connection: 64 units, one more every 5 ms, eight more for each valid request; an error reply costs a unit, long records more. When it is spent, or four such replies wait for the writer, reading pauses and nothing is dropped. The connection ends only with nothing open: after eight error replies to invalid requests without partial ones, or 64 units, once a read has found nothing; after 128 units also if its client still sends. An abort on a connection with nothing open is not passed to the engine.

Why the bound may move: it stood for the core and the memory that a client takes which repeats such records. Replies that wait are four at most, and inside CONNECTION_BYTES now, which had no place for the eight before.

Tests: aborted_incomplete_requests_, requests_beyond_the_limit_ and invalid_requests_cost_no_other_request_of_their_connection and a_client_that_repeats_errors_beside_an_open_request_is_read_at_a_bounded_rate fail on; a_client_that_sends_nothing_but_errors_is_closed did not end there within four minutes (aborts were answered by nothing and bounded by nothing). reading_pauses_while_error_replies_wait_for_the_writer and the budget's own tests need the new code. A record of no incomplete request is Ignored now where it was Pending; the assembler's test says so.

--- a/crates/asterdale-daemon/src/frontend/connection/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/closing.rs
@@ -9,6 +9,17 @@
 use super::{Connection, EndReason, Phase, ReadOutcome, LINGER_TIMEOUT};
 use crate::frontend::context::ConnectionContext;
 
+/// A connection without open or partial requests ends after this many consecutive replies to invalid requests and to
+/// management records.
+const MAX_CONSECUTIVE_ERROR_REPLIES: usize = 8;
+/// Such replies after which reading stops as soon as a read finds nothing. A client that sends the next request as soon
+/// as it has a reply would otherwise seldom be found silent.
+const MAX_ERROR_REPLIES_WHILE_ENDING: usize = 12;
+/// A connection without open requests ends once it has spent this many units of its error budget since its last valid
+/// request, also with partial requests.
+const MAX_SPENT_UNITS: i64 = 64;
+/// Units after which reading from such a connection stops, even if its client still sends.
+const MAX_SPENT_UNITS_WHILE_ENDING: i64 = 128;
 /// A connection that is to end waits for the rest of a partial request until this many consecutive reads have found
 /// nothing. The event loop reads every 2 ms, so this is 50 ms: about the time in which a client resends a request that
 /// arrived after the close.
@@ -48,6 +59,30 @@
         }
     }
 
+    /// Whether the connection is to end because its client sends nothing but errors.
+    pub fn has_only_errors(&self) -> bool {
+        let may_end = !self.end_requested && !self.has_open_requests();
+        let has_error_replies = self.consecutive_error_replies >= MAX_CONSECUTIVE_ERROR_REPLIES
+            && !self.has_partial_request();
+        may_end && (has_error_replies || self.error_budget.spent_since_request() >= MAX_SPENT_UNITS)
+    }
+
+    /// Whether reading stops after a read that found nothing: nothing that was received is unanswered.
+    pub(super) fn ends_once_drained(&self) -> bool {
+        self.end_requested
+            && self.consecutive_error_replies >= MAX_ERROR_REPLIES_WHILE_ENDING
+            && !self.has_open_requests()
+            && !self.has_partial_request()
+    }
+
+    /// Whether reading stops although there may be unread input: nothing that was read is unanswered, and the client
+    /// has not heeded any of its error replies.
+    pub(super) fn ends_unread(&self) -> bool {
+        self.end_requested
+            && self.error_budget.spent_since_request() >= MAX_SPENT_UNITS_WHILE_ENDING
+            && !self.has_open_requests()
+    }
+
     /// Records why the connection ends. Only the first reason counts.
     pub fn record_end_reason(&mut self, context: &ConnectionContext, reason: EndReason) {
         if self.end_reason.is_none() {
--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -1,6 +1,7 @@
 //! Parses the FastCGI records that a connection has received, and passes complete requests to the engine.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use asterdale_engine::memory::{request_bytes, MemoryReservation, REPLY_BYTES};
 use asterdale_engine::message::{EngineMessage, Reply, Request, RequestHead, ResponseRoute};
@@ -9,7 +10,7 @@
 };
 use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, ProtocolError, Response};
 
-use super::{Connection, EndReason};
+use super::{Connection, EndReason, ReadOutcome};
 use crate::frontend::admitted_request::AdmittedRequest;
 use crate::frontend::context::ConnectionContext;
 use crate::frontend::peer::Peer;
@@ -18,51 +19,93 @@
 
 /// Open requests that one connection may carry; set by the platform's protocol.
 pub(super) const MAX_OPEN_REQUESTS: usize = 32;
-/// A connection ends after this many consecutive error replies and replies to management records. Edge nodes send
-/// nothing that leads to such replies; a client that repeats a malformed request without pause would keep a core busy.
-const MAX_CONSECUTIVE_ERROR_REPLIES: usize = 8;
+/// Upper bound of the records that answer no request of the engine and wait for the writer. Reading pauses beyond it.
+pub(super) const MAX_UNWRITTEN_RECORDS: usize = 4;
+/// How long reading pauses for the writer.
+const UNWRITTEN_RECORDS_PAUSE: Duration = Duration::from_millis(1);
 
 /// The result of processing one record.
 enum Processed {
-    /// Nothing to reply.
-    NoReply,
-    /// A reply to be sent at once.
-    Reply(Response),
+    /// It is part of a valid request.
+    Accepted,
+    /// It has no effect.
+    Ignored,
+    /// It aborts a request that was complete.
+    Abort,
+    /// The request is not accepted, though nothing is wrong with it: it is aborted, or there are too many.
+    Dismissed(Response),
+    /// The request or management record is answered with this.
+    Error(Response),
     /// Reading from the connection ends.
     End(EndReason),
 }
 
 impl Connection {
-    /// Processes the complete records that were read. Returns the reason if reading from the connection ends.
+    /// Processes the complete records that were read. Returns the outcome of the read if it is not to be continued.
     pub(super) fn process_records(
         &mut self,
         context: &mut ConnectionContext,
         peer: &Arc<Peer>,
-    ) -> Option<EndReason> {
+    ) -> Option<ReadOutcome> {
+        let outcome = self.process_until_paused(context, peer, Instant::now());
+        self.has_unprocessed_records = matches!(outcome, Some(ReadOutcome::Paused(_)));
+        if !self.account_for_buffers(context) {
+            return Some(ReadOutcome::Ended(EndReason::OutOfMemory));
+        }
+        outcome
+    }
+
+    fn process_until_paused(
+        &mut self,
+        context: &ConnectionContext,
+        peer: &Arc<Peer>,
+        now: Instant,
+    ) -> Option<ReadOutcome> {
         loop {
+            if let Some(resume_at) = self.pause(peer, now) {
+                return Some(ReadOutcome::Paused(resume_at));
+            }
             let open = peer.open_requests() + self.requests.pending_count();
-            let event = match self.incoming.next_record() {
-                Ok(Some(record)) => self
-                    .requests
-                    .handle_record(record, open < MAX_OPEN_REQUESTS),
-                Ok(None) => break,
-                Err(malformed) => Err(malformed),
+            let bytes_before = self.requests.pending_bytes();
+            let (event, length) = match self.incoming.next_record() {
+                Ok(Some(record)) => {
+                    let length = record.content.len();
+                    let accepts_request = open < MAX_OPEN_REQUESTS;
+                    (self.requests.handle_record(record, accepts_request), length)
+                }
+                Ok(None) => return None,
+                Err(malformed) => (Err(malformed), 0),
             };
+            // The request that the record completed or ended.
+            let released = bytes_before.saturating_sub(self.requests.pending_bytes());
             let processed = match event {
                 Ok(event) => self.process_event(context, peer, event),
                 Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
             };
             match processed {
-                Processed::NoReply => continue,
-                Processed::End(end) => return Some(end),
-                Processed::Reply(reply) => peer.send_record(reply),
-            }
-            self.consecutive_error_replies += 1;
-            if self.consecutive_error_replies >= MAX_CONSECUTIVE_ERROR_REPLIES {
-                return Some(EndReason::RepeatedErrors);
+                Processed::Accepted => {}
+                Processed::Ignored => self.error_budget.charge_ignored(length, now),
+                Processed::Abort => self.error_budget.charge(0, now),
+                Processed::Dismissed(reply) => {
+                    peer.send_record(reply);
+                    self.error_budget.charge(released, now);
+                }
+                Processed::Error(reply) => {
+                    peer.send_record(reply);
+                    self.consecutive_error_replies += 1;
+                    self.error_budget.charge(released + length, now);
+                }
+                Processed::End(reason) => return Some(ReadOutcome::Ended(reason)),
             }
         }
-        (!self.account_for_buffers(context)).then_some(EndReason::OutOfMemory)
+    }
+
+    /// Until when reading pauses, if it does.
+    fn pause(&mut self, peer: &Peer, now: Instant) -> Option<Instant> {
+        if peer.unwritten_records() >= MAX_UNWRITTEN_RECORDS {
+            return Some(now + UNWRITTEN_RECORDS_PAUSE);
+        }
+        self.error_budget.resume_at(now)
     }
 
     fn process_event(
@@ -72,10 +115,12 @@
         event: AssemblyEvent,
     ) -> Processed {
         match event {
-            AssemblyEvent::Pending => Processed::NoReply,
+            AssemblyEvent::Pending => Processed::Accepted,
+            AssemblyEvent::Ignored => Processed::Ignored,
             AssemblyEvent::Complete(request_id, request) => {
                 self.process_complete_request(context, peer, request_id, request)
             }
+            AssemblyEvent::Abort(_) if peer.open_requests() == 0 => Processed::Ignored,
             AssemblyEvent::Abort(request_id) => {
                 let route = ResponseRoute {
                     connection: peer.connection,
@@ -83,25 +128,30 @@
                 };
                 // The engine's mailbox closes only when the process ends.
                 let _ = context.engine.send(EngineMessage::Abort(route));
-                Processed::NoReply
+                Processed::Abort
             }
             AssemblyEvent::EndRequest(request_id, status) => {
                 if status == protocol_status::OVERLOADED {
                     context.counters.requests_overloaded.add();
                 }
-                Processed::Reply(end_request_response(request_id, status))
+                let reply = end_request_response(request_id, status);
+                if status == protocol_status::UNKNOWN_ROLE {
+                    Processed::Error(reply)
+                } else {
+                    Processed::Dismissed(reply)
+                }
             }
             AssemblyEvent::BodyTooLong(request_id) => {
                 context.record_malformed_request("body");
                 peer.send_record(encode_reply(request_id, Reply::Malformed));
                 Processed::End(EndReason::BodyTooLong)
             }
-            AssemblyEvent::GetValues(requested) => Processed::Reply(values_response(
+            AssemblyEvent::GetValues(requested) => Processed::Error(values_response(
                 &requested,
                 context.max_connections,
                 MAX_OPEN_REQUESTS,
             )),
-            AssemblyEvent::UnknownType(kind) => Processed::Reply(unknown_type_response(kind)),
+            AssemblyEvent::UnknownType(kind) => Processed::Error(unknown_type_response(kind)),
         }
     }
 
@@ -116,10 +166,11 @@
         match self.pass_to_engine(context, peer, request_id, request) {
             Ok(true) if keep_connection => {
                 self.consecutive_error_replies = 0;
-                Processed::NoReply
+                self.error_budget.add_for_request();
+                Processed::Accepted
             }
             Ok(true) => Processed::End(EndReason::NotKept),
-            Ok(false) => Processed::Reply(encode_reply(request_id, Reply::Malformed)),
+            Ok(false) => Processed::Error(encode_reply(request_id, Reply::Malformed)),
             Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
         }
     }
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -7,9 +7,13 @@
 mod closing;
 mod dispatch;
 mod end_reason;
+mod error_budget;
 mod outcome;
 mod unsent;
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,8 +24,9 @@
 use super::context::ConnectionContext;
 use super::peer::Peer;
 use super::stream::ClientStream;
-use dispatch::MAX_OPEN_REQUESTS;
+use dispatch::{MAX_OPEN_REQUESTS, MAX_UNWRITTEN_RECORDS};
 pub use end_reason::EndReason;
+use error_budget::ErrorBudget;
 pub use outcome::ReadOutcome;
 use unsent::UnsentReplies;
 
@@ -35,7 +40,10 @@
 /// Upper bound of the memory of a connection's own state, in bytes: in the event loop, its peer and its stream.
 const STATE_BYTES: usize = 1024;
 const _: () = assert!(
-    DEFAULT_BUFFER_BYTES + MAX_UNSENT_BYTES + MAX_OPEN_REQUESTS * SHORT_REPLY_BYTES + STATE_BYTES
+    DEFAULT_BUFFER_BYTES
+        + MAX_UNSENT_BYTES
+        + (MAX_OPEN_REQUESTS + MAX_UNWRITTEN_RECORDS) * SHORT_REPLY_BYTES
+        + STATE_BYTES
         <= CONNECTION_BYTES
 );
 
@@ -69,8 +77,11 @@
     has_received_bytes: bool,
     /// Whether a complete and valid request has arrived.
     pub has_received_request: bool,
-    /// Error replies and replies to management records since the last valid request.
+    /// Replies to invalid requests and to management records since the last valid request.
     consecutive_error_replies: usize,
+    error_budget: ErrorBudget,
+    /// Whether reading paused before all records that were read had been processed.
+    has_unprocessed_records: bool,
     /// Whether the connection is to end as soon as all requests read from it are answered.
     pub end_requested: bool,
     /// Why the connection ends, once that is known: the first reason.
@@ -103,6 +114,8 @@
             has_received_bytes: false,
             has_received_request: false,
             consecutive_error_replies: 0,
+            error_budget: ErrorBudget::new(not_before),
+            has_unprocessed_records: false,
             end_requested: false,
             end_reason: None,
             empty_reads_while_ending: 0,
@@ -178,6 +191,14 @@
             // Reading continues once the socket has accepted the replies.
             return ReadOutcome::Drained;
         }
+        if self.has_unprocessed_records {
+            if let Some(outcome) = self.process_records(context, &peer) {
+                return outcome;
+            }
+        }
+        if self.ends_unread() {
+            return ReadOutcome::Ended(EndReason::RepeatedErrors);
+        }
         let had_partial_request = self.has_partial_request();
         // The buffer may grow for the rest of a record, and the read may then find nothing.
         self.incoming.prepare_read();
@@ -189,15 +210,17 @@
             Ok(0) => ReadOutcome::Ended(EndReason::ClientFinished),
             Ok(count) => {
                 self.record_read(context, count, had_partial_request);
-                match self.process_records(context, &peer) {
-                    Some(end) => ReadOutcome::Ended(end),
-                    None => ReadOutcome::More,
-                }
+                self.process_records(context, &peer)
+                    .unwrap_or(ReadOutcome::More)
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => ReadOutcome::More,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 self.drained_at = Instant::now();
-                ReadOutcome::Drained
+                if self.ends_once_drained() {
+                    ReadOutcome::Ended(EndReason::RepeatedErrors)
+                } else {
+                    ReadOutcome::Drained
+                }
             }
             Err(_) => ReadOutcome::Ended(EndReason::Broken),
         }
--- a/crates/asterdale-daemon/src/frontend/connection/outcome.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/outcome.rs
@@ -1,5 +1,7 @@
 //! The results of reading from a connection.
 
+use std::time::Instant;
+
 use super::EndReason;
 
 /// The result of one read.
@@ -8,6 +10,8 @@
     Drained,
     /// There may be more. Other connections are read first.
     More,
+    /// Nothing more is read before this time, though more may have arrived.
+    Paused(Instant),
     /// Reading from the connection ended.
     Ended(EndReason),
 }
--- a/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
@@ -45,7 +45,9 @@
                     self.ending.push(number);
                 }
                 ReadOutcome::Ended(reason) => self.stop_reading(number, reason),
-                ReadOutcome::Drained | ReadOutcome::More => self.ending.push(number),
+                ReadOutcome::Drained | ReadOutcome::More | ReadOutcome::Paused(_) => {
+                    self.ending.push(number);
+                }
             }
         }
     }
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -8,7 +8,8 @@
 mod closing;
 mod idle;
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -67,6 +68,8 @@
     last_connection: u64,
     /// Connections that may have input, in the order in which they are read.
     read_queue: VecDeque<u64>,
+    /// Connections from which nothing is read before this time.
+    paused: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Connections that are to end once they are answered.
     ending: Vec<u64>,
     /// Lingering connections, each with the earliest time at which it can be closed, in that order.
@@ -97,6 +100,7 @@
             accept_paused: false,
             connections: HashMap::new(),
             read_queue: VecDeque::new(),
+            paused: BinaryHeap::new(),
             ending: Vec::new(),
             lingering: VecDeque::new(),
             next_idle_check: now,
@@ -147,7 +151,8 @@
             .and_then(Listener::accept_not_before);
         let ending = (!self.ending.is_empty()).then_some(self.next_ending_read);
         let lingering = self.lingering.front().map(|&(close_at, _)| close_at);
-        let wake_at = [accept, ending, lingering]
+        let paused = self.paused.peek().map(|Reverse((resume_at, _))| *resume_at);
+        let wake_at = [accept, ending, lingering, paused]
             .into_iter()
             .flatten()
             .fold(self.next_idle_check, Instant::min);
@@ -217,6 +222,14 @@
     }
 
     fn read(&mut self, number: u64) {
+        self.read_once(number);
+        let connection = self.connections.get(&number);
+        if connection.is_some_and(Connection::has_only_errors) {
+            self.end_when_answered(number, EndReason::RepeatedErrors);
+        }
+    }
+
+    fn read_once(&mut self, number: u64) {
         let Some(connection) = self
             .connections
             .get_mut(&number)
@@ -227,6 +240,7 @@
         match connection.read(&mut self.context) {
             ReadOutcome::More => self.read_queue.push_back(number),
             ReadOutcome::Drained => connection.read_scheduled = false,
+            ReadOutcome::Paused(resume_at) => self.paused.push(Reverse((resume_at, number))),
             ReadOutcome::Ended(EndReason::OutOfMemory) => {
                 self.end_largest_partial_requests();
                 self.read_queue.push_back(number);
@@ -248,7 +262,19 @@
         }
     }
 
+    /// Queues the connections whose pause is over.
+    fn resume_paused_connections(&mut self, now: Instant) {
+        while let Some(&Reverse((resume_at, number))) = self.paused.peek() {
+            if resume_at > now {
+                return;
+            }
+            self.paused.pop();
+            self.read_queue.push_back(number);
+        }
+    }
+
     fn run_timers(&mut self, now: Instant) {
+        self.resume_paused_connections(now);
         if !self.ending.is_empty() && now >= self.next_ending_read {
             self.next_ending_read = now + ENDING_READ_INTERVAL;
             self.read_ending_connections();
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -28,6 +28,8 @@
     memory: Arc<ConnectionMemory>,
     /// Requests passed to the engine whose replies the writer has not started to write.
     open_requests: AtomicUsize,
+    /// Other records that the writer has not started to write.
+    unwritten_records: AtomicUsize,
     /// When the writer last wrote, in milliseconds since the frontend started.
     last_write_ms: AtomicU64,
     /// Whether the socket's send buffer has ever been full. From then on, only the event loop writes.
@@ -74,6 +76,7 @@
             counters,
             memory: ConnectionMemory::new(request_memory),
             open_requests: AtomicUsize::new(0),
+            unwritten_records: AtomicUsize::new(0),
             last_write_ms: 0.into(),
             written_by_event_loop: false.into(),
             write_failed: false.into(),
@@ -91,9 +94,17 @@
         self.open_requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Records that the writer writes at `now_ms`, and that this write answers `completed_requests` requests.
-    pub fn record_write(&self, now_ms: u64, completed_requests: usize) {
+    /// Records passed to [`Peer::send_record`] that the writer has not started to write.
+    pub fn unwritten_records(&self) -> usize {
+        self.unwritten_records.load(Ordering::Relaxed)
+    }
+
+    /// Records that the writer writes at `now_ms`, and that this write contains the replies to `completed_requests`
+    /// requests and `other_records` records.
+    pub fn record_write(&self, now_ms: u64, completed_requests: usize, other_records: usize) {
         self.last_write_ms.store(now_ms, Ordering::Relaxed);
+        self.unwritten_records
+            .fetch_sub(other_records, Ordering::Relaxed);
         self.open_requests
             .fetch_sub(completed_requests, Ordering::AcqRel);
     }
@@ -130,6 +141,7 @@
 
     /// Queues a record that does not answer a request that was passed to the engine.
     pub fn send_record(self: &Arc<Peer>, response: Response) {
+        self.unwritten_records.fetch_add(1, Ordering::Relaxed);
         self.clone()
             .queue(response, false, MemoryReservation::default());
     }
--- a/crates/asterdale-daemon/src/frontend/writer.rs
+++ b/crates/asterdale-daemon/src/frontend/writer.rs
@@ -46,7 +46,8 @@
         let peer = replies[0].peer.clone();
         let completed = replies.iter().filter(|reply| reply.closes_request).count();
         // Counted before the write: the client may send its next requests as soon as it has read these replies.
-        peer.record_write(self.started_at.elapsed().as_millis() as u64, completed);
+        let now_ms = self.started_at.elapsed().as_millis() as u64;
+        peer.record_write(now_ms, completed, replies.len() - completed);
         let written = if peer.is_written_by_event_loop() {
             Err(0)
         } else {
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -43,8 +43,10 @@
 /// The result of handling one record.
 #[derive(Debug, PartialEq, Eq)]
 pub enum AssemblyEvent {
-    /// Nothing to do: more records are needed, or the record is ignored in this state.
+    /// The record was added to an incomplete request, which needs more records.
     Pending,
+    /// The record belongs to no incomplete request, or to a stream that has ended. It has no effect.
+    Ignored,
     /// The request of this id is complete.
     Complete(u16, CompleteRequest),
     /// The peer cancels the request of this id, which was complete before.
@@ -101,7 +103,7 @@
             record_type::ABORT_REQUEST => Ok(self.abort(request_id)),
             record_type::PARAMS => self.append_params(request_id, content),
             record_type::STDIN => self.append_body(request_id, content),
-            _ => Ok(AssemblyEvent::Pending),
+            _ => Ok(AssemblyEvent::Ignored),
         }
     }
 
@@ -153,13 +155,14 @@
         content: &[u8],
     ) -> Result<AssemblyEvent, ProtocolError> {
         let Some(pending) = self.pending.get_mut(&request_id) else {
-            return Ok(AssemblyEvent::Pending);
+            return Ok(AssemblyEvent::Ignored);
         };
-        if !pending.params_complete {
-            pending.params_complete = content.is_empty();
-            append_exactly(&mut pending.request.params, content);
-            self.pending_bytes += content.len();
+        if pending.params_complete {
+            return Ok(AssemblyEvent::Ignored);
         }
+        pending.params_complete = content.is_empty();
+        append_exactly(&mut pending.request.params, content);
+        self.pending_bytes += content.len();
         self.complete_or_check_limit(request_id)
     }
 
@@ -169,17 +172,18 @@
         content: &[u8],
     ) -> Result<AssemblyEvent, ProtocolError> {
         let Some(pending) = self.pending.get_mut(&request_id) else {
-            return Ok(AssemblyEvent::Pending);
+            return Ok(AssemblyEvent::Ignored);
         };
-        if !pending.body_complete {
-            pending.body_complete = content.is_empty();
-            if pending.request.body.len() + content.len() > MAX_BODY_BYTES {
-                self.remove(request_id);
-                return Ok(AssemblyEvent::BodyTooLong(request_id));
-            }
-            append_exactly(&mut pending.request.body, content);
-            self.pending_bytes += content.len();
+        if pending.body_complete {
+            return Ok(AssemblyEvent::Ignored);
         }
+        pending.body_complete = content.is_empty();
+        if pending.request.body.len() + content.len() > MAX_BODY_BYTES {
+            self.remove(request_id);
+            return Ok(AssemblyEvent::BodyTooLong(request_id));
+        }
+        append_exactly(&mut pending.request.body, content);
+        self.pending_bytes += content.len();
         self.complete_or_check_limit(request_id)
     }
 
@@ -222,7 +226,7 @@
 fn management_event(record_type: u8, content: &[u8]) -> AssemblyEvent {
     match record_type {
         record_type::GET_VALUES => AssemblyEvent::GetValues(content.to_vec()),
-        record_type::BEGIN_REQUEST..=record_type::STDIN => AssemblyEvent::Pending,
+        record_type::BEGIN_REQUEST..=record_type::STDIN => AssemblyEvent::Ignored,
         unknown => AssemblyEvent::UnknownType(unknown),
     }
 }
