Frontend: a request that is too long is rejected alone, not with its connection

What callers saw: where one client sent a body over 2 KiB, or parameters that took the incomplete requests of a connection over 96 KiB, the requests that others had written whole on that connection got no answer.

Cause: BodyTooLong ended the reading of the connection, as the body may be endless; TooManyPendingBytes was a violation of the protocol. Both are faults of one request: sound ones need less than the bound together, so the largest one is to blame for exceeding it.

Change: RequestFault names what is wrong with one request. No bound is wider: 96 KiB of incomplete requests a connection as before.

--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -141,10 +141,9 @@
                     Processed::Dismissed(reply)
                 }
             }
-            AssemblyEvent::BodyTooLong(request_id) => {
-                context.record_malformed_request("body");
-                peer.send_record(encode_reply(request_id, Reply::Malformed));
-                Processed::End(EndReason::BodyTooLong)
+            AssemblyEvent::Rejected(request_id, fault) => {
+                context.record_malformed_request(fault);
+                Processed::Error(encode_reply(request_id, Reply::Malformed))
             }
             AssemblyEvent::GetValues(requested) => Processed::Error(values_response(
                 &requested,
--- a/crates/asterdale-daemon/src/frontend/connection/end_reason.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/end_reason.rs
@@ -13,8 +13,6 @@
     NotKept,
     /// Too many replies in a row were errors or answers to management records.
     RepeatedErrors,
-    /// The body of a request exceeded its limit.
-    BodyTooLong,
     /// What the client sent is not FastCGI.
     Malformed(ProtocolError),
     /// Incomplete requests of all connections took more memory than their bound, and those of this one took the most.
@@ -44,7 +42,6 @@
             EndReason::ClientFinished => &counters.connections_finished,
             EndReason::NotKept => &counters.connections_not_kept,
             EndReason::RepeatedErrors => &counters.connections_repeated_errors,
-            EndReason::BodyTooLong => &counters.connections_body_too_long,
             EndReason::Malformed(_) => &counters.connections_malformed,
             EndReason::OutOfMemory => &counters.connections_over_memory,
             EndReason::Broken => &counters.connections_broken,
--- a/crates/asterdale-daemon/src/frontend/context.rs
+++ b/crates/asterdale-daemon/src/frontend/context.rs
@@ -1,5 +1,6 @@
 //! What all connections of one listener share: settings, the number of buffered bytes, and the sender to the engine.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -40,12 +41,12 @@
         self.started_at.elapsed().as_millis() as u64
     }
 
-    /// Counts and logs a request in which this field is missing or invalid.
-    pub fn record_malformed_request(&self, field: &'static str) {
+    /// Counts and logs a request in which this field is missing or invalid, or that has this fault.
+    pub fn record_malformed_request(&self, field: impl Display) {
         static MALFORMED_REQUEST: LogLimit = LogLimit::new();
         self.counters.tasks_malformed.add();
         if self.log.allows(&MALFORMED_REQUEST) {
-            slog::warn!(self.log.lines, "frontend: malformed request"; "field" => field);
+            slog::warn!(self.log.lines, "frontend: malformed request"; "field" => %field);
         }
     }
 
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -183,8 +183,6 @@
     connections_stalled,
     /// Connections that were closed after too many consecutive error replies.
     connections_repeated_errors,
-    /// Connections that were closed as the body of a request was too long.
-    connections_body_too_long,
     /// Connections that were closed as their incomplete requests took too much memory.
     connections_over_memory,
     /// Connections that a peer reset.
--- a/crates/asterdale-fastcgi/src/error.rs
+++ b/crates/asterdale-fastcgi/src/error.rs
@@ -1,4 +1,5 @@
-//! Violations of the protocol, after which a connection's input cannot be parsed any further.
+//! Violations of the protocol: those after which a connection's input cannot be parsed any further, and those that
+//! concern one request.
 
 use thiserror::Error;
 
@@ -14,10 +15,18 @@
     /// The length of a parameter's name or value exceeds the remaining bytes.
     #[error("the length of a parameter exceeds the remaining bytes")]
     LengthOutOfBounds,
-    /// The incomplete requests of a connection exceed their memory limit.
-    #[error("the incomplete requests of a connection exceed their memory limit")]
-    TooManyPendingBytes,
     /// A request was opened with this id while another request of the same id was incomplete.
     #[error("request id {0} is in use by an incomplete request")]
     DuplicateRequestId(u16),
 }
+
+/// Why one request is rejected. The other requests of its connection are not affected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RequestFault {
+    /// Its body exceeds the limit, and may be endless.
+    #[error("the body is too long")]
+    BodyTooLong,
+    /// It is the largest incomplete request of a connection whose incomplete requests exceed their memory limit.
+    #[error("the incomplete requests of its connection exceed their memory limit")]
+    TooManyPendingBytes,
+}
--- a/crates/asterdale-fastcgi/src/lib.rs
+++ b/crates/asterdale-fastcgi/src/lib.rs
@@ -7,7 +7,7 @@
 mod request_assembler;
 mod response;
 
-pub use error::ProtocolError;
+pub use error::{ProtocolError, RequestFault};
 pub use params::Params;
 pub use record_reader::{Record, RecordReader, DEFAULT_BUFFER_BYTES};
 pub use request_assembler::{AssemblyEvent, CompleteRequest, RequestAssembler};
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -2,13 +2,12 @@
 
 use std::collections::HashMap;
 
-use crate::error::ProtocolError;
+use crate::error::{ProtocolError, RequestFault};
 use crate::record_reader::Record;
 use crate::{protocol_status, record_type};
 
 /// Memory limit for the incomplete requests of one connection, in bytes. The 32 concurrent requests that the platform
-/// sends at most need less. The limit keeps many connections that open requests and never complete them from exhausting
-/// the memory.
+/// sends at most need less, so whoever exceeds it has sent a request that is longer than those.
 const MAX_PENDING_BYTES: usize = 96 * 1024;
 /// The platform's limit for a request body, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024;
@@ -53,9 +52,9 @@
     Abort(u16),
     /// The caller must send END_REQUEST for this id with this protocol status now.
     EndRequest(u16, u8),
-    /// The body of this request exceeds the limit, and may be endless. The request is dropped; the caller should stop
-    /// reading from the connection.
-    BodyTooLong(u16),
+    /// This request can't be accepted. It is dropped, and the rest of its records will be ignored; the caller must
+    /// answer it now.
+    Rejected(u16, RequestFault),
     /// The caller must answer this GET_VALUES query now.
     GetValues(Vec<u8>),
     /// The caller must answer this unknown management record type now.
@@ -84,7 +83,7 @@
     /// Handles the next record. A new request is answered as overloaded unless `accepts_request`.
     ///
     /// # Errors
-    /// A violation of the protocol, or of the memory limit. The connection cannot be used any further.
+    /// A violation of the protocol. The connection cannot be used any further.
     pub fn handle_record(
         &mut self,
         record: Record<'_>,
@@ -163,7 +162,7 @@
         pending.params_complete = content.is_empty();
         append_exactly(&mut pending.request.params, content);
         self.pending_bytes += content.len();
-        self.complete_or_check_limit(request_id)
+        Ok(self.complete_or_check_limit(request_id))
     }
 
     fn append_body(
@@ -180,30 +179,49 @@
         pending.body_complete = content.is_empty();
         if pending.request.body.len() + content.len() > MAX_BODY_BYTES {
             self.remove(request_id);
-            return Ok(AssemblyEvent::BodyTooLong(request_id));
+            return Ok(AssemblyEvent::Rejected(
+                request_id,
+                RequestFault::BodyTooLong,
+            ));
         }
         append_exactly(&mut pending.request.body, content);
         self.pending_bytes += content.len();
-        self.complete_or_check_limit(request_id)
+        Ok(self.complete_or_check_limit(request_id))
     }
 
     /// Returns the request once both of its streams have ended, in either order.
-    fn complete_or_check_limit(&mut self, request_id: u16) -> Result<AssemblyEvent, ProtocolError> {
+    fn complete_or_check_limit(&mut self, request_id: u16) -> AssemblyEvent {
         let is_complete = self
             .pending
             .get(&request_id)
             .is_some_and(|pending| pending.params_complete && pending.body_complete);
         if is_complete {
-            return Ok(self
+            return self
                 .remove(request_id)
                 .map_or(AssemblyEvent::Pending, |request| {
                     AssemblyEvent::Complete(request_id, request)
-                }));
+                });
         }
-        if self.pending_bytes > MAX_PENDING_BYTES {
-            return Err(ProtocolError::TooManyPendingBytes);
+        if self.pending_bytes <= MAX_PENDING_BYTES {
+            return AssemblyEvent::Pending;
         }
-        Ok(AssemblyEvent::Pending)
+        // The largest request is at least as long as the record that has exceeded the limit, so the rest is within it.
+        let largest = self.largest_pending(request_id).unwrap_or(request_id);
+        self.remove(largest);
+        AssemblyEvent::Rejected(largest, RequestFault::TooManyPendingBytes)
+    }
+
+    /// The incomplete request that takes the most memory; of several, `preferred`.
+    fn largest_pending(&self, preferred: u16) -> Option<u16> {
+        let size = |(&id, pending): (&u16, &PendingRequest)| {
+            let request = &pending.request;
+            (request.params.len() + request.body.len(), id == preferred)
+        };
+        let largest = self
+            .pending
+            .iter()
+            .max_by_key(|&(id, pending)| size((id, pending)));
+        largest.map(|(&id, _)| id)
     }
 
     fn remove(&mut self, request_id: u16) -> Option<CompleteRequest> {
