Frontend: a request that violates the protocol is answered 400 alone

What callers saw: one request with parameters that can't be parsed, a BEGIN_REQUEST of fewer than three bytes, or the id of an incomplete request ended the reading of its connection. It got no answer itself, and requests that others wrote whole on that connection meanwhile were lost.

Cause: these were errors of the connection's input, like a record of another version. But the records can still be told apart, so the fault is that of one request.

Change: RequestFault has them, and the request is answered 400. Of two incomplete requests with one id neither is completed, since the records that follow can't be attributed to one of them. Only a record of another version still ends the reading: nothing behind it can be told apart.

Evidence: a_request_that_violates_the_protocol_costs_no_other_request_of_its_connection fails on the code before.

Tests changed: invalid_records_are_answered_and_affect_their_request_alone (was ..._or_are_protocol_errors) expects the rejected request where it expected an error of the connection, and that what follows a repeated id completes nothing.

--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -8,7 +8,7 @@
 use asterdale_fastcgi::{
     end_request_response, protocol_status, unknown_type_response, values_response,
 };
-use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, ProtocolError, Response};
+use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, Response};
 
 use super::{Connection, EndReason, ReadOutcome};
 use crate::frontend::admitted_request::AdmittedRequest;
@@ -67,22 +67,18 @@
             }
             let open = peer.open_requests() + self.requests.pending_count();
             let bytes_before = self.requests.pending_bytes();
-            let (event, length) = match self.incoming.next_record() {
-                Ok(Some(record)) => {
-                    let length = record.content.len();
-                    let accepts_request = open < MAX_OPEN_REQUESTS;
-                    (self.requests.handle_record(record, accepts_request), length)
-                }
+            let record = match self.incoming.next_record() {
+                Ok(Some(record)) => record,
                 Ok(None) => return None,
-                Err(malformed) => (Err(malformed), 0),
+                Err(malformed) => return Some(ReadOutcome::Ended(EndReason::Malformed(malformed))),
             };
+            let length = record.content.len();
+            let event = self
+                .requests
+                .handle_record(record, open < MAX_OPEN_REQUESTS);
             // The request that the record completed or ended.
             let released = bytes_before.saturating_sub(self.requests.pending_bytes());
-            let processed = match event {
-                Ok(event) => self.process_event(context, peer, event),
-                Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
-            };
-            match processed {
+            match self.process_event(context, peer, event) {
                 Processed::Accepted => {}
                 Processed::Ignored => self.error_budget.charge_ignored(length, now),
                 Processed::Abort => self.error_budget.charge(0, now),
@@ -163,25 +159,30 @@
     ) -> Processed {
         let keep_connection = request.keep_connection;
         match self.pass_to_engine(context, peer, request_id, request) {
-            Ok(true) if keep_connection => {
+            Ok(()) if keep_connection => {
                 self.consecutive_error_replies = 0;
                 self.error_budget.add_for_request();
                 Processed::Accepted
             }
-            Ok(true) => Processed::End(EndReason::NotKept),
-            Ok(false) => Processed::Error(encode_reply(request_id, Reply::Malformed)),
-            Err(malformed) => Processed::End(EndReason::Malformed(malformed)),
+            Ok(()) => Processed::End(EndReason::NotKept),
+            Err(field) => {
+                context.record_malformed_request(field);
+                Processed::Error(encode_reply(request_id, Reply::Malformed))
+            }
         }
     }
 
-    /// Passes a complete request or health check to the engine. Returns `false` for one with an invalid field.
+    /// Passes a complete request or health check to the engine.
+    ///
+    /// # Errors
+    /// The name of a field that is missing or invalid.
     fn pass_to_engine(
         &mut self,
         context: &ConnectionContext,
         peer: &Arc<Peer>,
         request_id: u16,
         request: CompleteRequest,
-    ) -> Result<bool, ProtocolError> {
+    ) -> Result<(), &'static str> {
         let target = request_head::parse(
             &request.params,
             &context.settings,
@@ -197,7 +198,7 @@
                 let (counters, body) = (&context.counters, request.body);
                 let Some(mut memory) = reserve(peer, &head, token.as_deref(), &body) else {
                     self.reject_for_memory(context, peer, request_id);
-                    return Ok(true);
+                    return Ok(());
                 };
                 let reply_memory = memory.split_off(REPLY_BYTES);
                 let queued = Request::gauge_part(counters, &head, token.as_deref(), &body);
@@ -213,15 +214,11 @@
                     queued: Some(queued),
                 }))
             }
-            RequestTarget::Invalid { field } => {
-                context.record_malformed_request(field);
-                return Ok(false);
-            }
         };
         self.add_open_request(peer);
         // The engine's mailbox closes only when the process ends.
         let _ = context.engine.send(message);
-        Ok(true)
+        Ok(())
     }
 
     fn add_open_request(&mut self, peer: &Peer) {
--- a/crates/asterdale-daemon/src/frontend/request_head.rs
+++ b/crates/asterdale-daemon/src/frontend/request_head.rs
@@ -8,6 +8,8 @@
 
 const HEALTH_CHECK_PATH: &[u8] = b"/healthz";
 const TASK_PATH_PREFIX: &[u8] = b"/v1/";
+/// What is reported as invalid if the parameters can't be parsed.
+const PARAMETERS_FIELD: &str = "parameters";
 /// Upper bound of an idempotency key's and an object name's length, in bytes.
 const MAX_KEY_BYTES: usize = 128;
 /// Exclusive upper bound of a request's declared memory, in KiB.
@@ -23,8 +25,6 @@
     },
     /// A request of some class, and the caller's token if there is one and callers must be identified.
     Task(RequestHead, Option<Box<[u8]>>),
-    /// This field is missing or invalid.
-    Invalid { field: &'static str },
 }
 
 /// The values of the parameters that are used, not validated yet.
@@ -48,13 +48,13 @@
 /// Reads a request's parameters. Unknown ones are ignored, and so is `Authorization` unless `identity_required`.
 ///
 /// # Errors
-/// If the parameters are not valid FastCGI name-value pairs.
+/// The name of a field that is missing or invalid.
 pub fn parse(
     params: &[u8],
     settings: &Settings,
     identity_required: bool,
-) -> Result<RequestTarget, ProtocolError> {
-    let raw = RawHead::collect(params, identity_required)?;
+) -> Result<RequestTarget, &'static str> {
+    let raw = RawHead::collect(params, identity_required).map_err(|_| PARAMETERS_FIELD)?;
     if raw.path == Some(HEALTH_CHECK_PATH) {
         let deep = raw.query.is_some_and(|query| {
             query
@@ -63,10 +63,11 @@
         });
         return Ok(RequestTarget::HealthCheck { deep });
     }
-    Ok(match raw.validate(settings) {
-        Ok(head) => RequestTarget::Task(head, raw.authorization.map(bearer_token)),
-        Err(field) => RequestTarget::Invalid { field },
-    })
+    let head = raw.validate(settings)?;
+    Ok(RequestTarget::Task(
+        head,
+        raw.authorization.map(bearer_token),
+    ))
 }
 
 impl<'a> RawHead<'a> {
--- a/crates/asterdale-daemon/tests/connections.rs
+++ b/crates/asterdale-daemon/tests/connections.rs
@@ -220,6 +220,29 @@
     assert_others_are_answered(&backend, &mut edge);
 }
 
+/// Guards against one caller's request that violates the protocol, for which the connection of all ended.
+#[test]
+fn a_request_that_violates_the_protocol_costs_no_other_request_of_its_connection() {
+    let begin = |number| record(record_type::BEGIN_REQUEST, number, BEGIN);
+    let truncated_begin = record(record_type::BEGIN_REQUEST, 9, &BEGIN[..2]);
+    let same_id_twice = [begin(9), begin(9)].concat();
+    let truncated_parameter = [
+        begin(9),
+        record(record_type::PARAMS, 9, &[200]),
+        record(record_type::PARAMS, 9, &[]),
+        record(record_type::STDIN, 9, &[]),
+    ]
+    .concat();
+    let backend = Backend::start();
+    let mut edge = connection_with_running_request(&backend);
+    for bytes in [truncated_begin, same_id_twice, truncated_parameter] {
+        edge.send(&bytes);
+        assert_eq!(edge.expect_status(9), "400");
+    }
+    assert_others_are_answered(&backend, &mut edge);
+    backend.counters_until(|count| count("tasks_malformed") == 3);
+}
+
 /// Guards against a client that repeats such records without pause for ever: with nothing open on its connection, it
 /// is closed, though it never stops to send.
 #[test]
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::error::{ProtocolError, RequestFault};
+use crate::error::RequestFault;
 use crate::record_reader::Record;
 use crate::{protocol_status, record_type};
 
@@ -81,50 +81,39 @@
     }
 
     /// Handles the next record. A new request is answered as overloaded unless `accepts_request`.
-    ///
-    /// # Errors
-    /// A violation of the protocol. The connection cannot be used any further.
-    pub fn handle_record(
-        &mut self,
-        record: Record<'_>,
-        accepts_request: bool,
-    ) -> Result<AssemblyEvent, ProtocolError> {
+    pub fn handle_record(&mut self, record: Record<'_>, accepts_request: bool) -> AssemblyEvent {
         let Record {
             record_type,
             request_id,
             content,
         } = record;
         if request_id == 0 {
-            return Ok(management_event(record_type, content));
+            return management_event(record_type, content);
         }
         match record_type {
             record_type::BEGIN_REQUEST => self.begin(request_id, content, accepts_request),
-            record_type::ABORT_REQUEST => Ok(self.abort(request_id)),
+            record_type::ABORT_REQUEST => self.abort(request_id),
             record_type::PARAMS => self.append_params(request_id, content),
             record_type::STDIN => self.append_body(request_id, content),
-            _ => Ok(AssemblyEvent::Ignored),
+            _ => AssemblyEvent::Ignored,
         }
     }
 
-    fn begin(
-        &mut self,
-        request_id: u16,
-        content: &[u8],
-        accepts_request: bool,
-    ) -> Result<AssemblyEvent, ProtocolError> {
+    fn begin(&mut self, request_id: u16, content: &[u8], accepts_request: bool) -> AssemblyEvent {
+        // The records that follow can't be attributed to one of two requests, so neither may be completed.
+        if self.remove(request_id).is_some() {
+            return AssemblyEvent::Rejected(request_id, RequestFault::DuplicateId);
+        }
         let &[role_high, role_low, flags, ..] = content else {
-            return Err(ProtocolError::TruncatedRecord(record_type::BEGIN_REQUEST));
+            return AssemblyEvent::Rejected(request_id, RequestFault::TruncatedBegin);
         };
         if u16::from_be_bytes([role_high, role_low]) != ROLE_RESPONDER {
             let status = protocol_status::UNKNOWN_ROLE;
-            return Ok(AssemblyEvent::EndRequest(request_id, status));
-        }
-        if self.pending.contains_key(&request_id) {
-            return Err(ProtocolError::DuplicateRequestId(request_id));
+            return AssemblyEvent::EndRequest(request_id, status);
         }
         if !accepts_request {
             let status = protocol_status::OVERLOADED;
-            return Ok(AssemblyEvent::EndRequest(request_id, status));
+            return AssemblyEvent::EndRequest(request_id, status);
         }
         let request = CompleteRequest {
             keep_connection: flags & FLAG_KEEP_CONNECTION != 0,
@@ -136,7 +125,7 @@
             body_complete: false,
         };
         self.pending.insert(request_id, pending);
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     }
 
     /// An incomplete request was never passed to the caller and did not run, so END_REQUEST is sent at once. The caller
@@ -148,45 +137,34 @@
         }
     }
 
-    fn append_params(
-        &mut self,
-        request_id: u16,
-        content: &[u8],
-    ) -> Result<AssemblyEvent, ProtocolError> {
+    fn append_params(&mut self, request_id: u16, content: &[u8]) -> AssemblyEvent {
         let Some(pending) = self.pending.get_mut(&request_id) else {
-            return Ok(AssemblyEvent::Ignored);
+            return AssemblyEvent::Ignored;
         };
         if pending.params_complete {
-            return Ok(AssemblyEvent::Ignored);
+            return AssemblyEvent::Ignored;
         }
         pending.params_complete = content.is_empty();
         append_exactly(&mut pending.request.params, content);
         self.pending_bytes += content.len();
-        Ok(self.complete_or_check_limit(request_id))
+        self.complete_or_check_limit(request_id)
     }
 
-    fn append_body(
-        &mut self,
-        request_id: u16,
-        content: &[u8],
-    ) -> Result<AssemblyEvent, ProtocolError> {
+    fn append_body(&mut self, request_id: u16, content: &[u8]) -> AssemblyEvent {
         let Some(pending) = self.pending.get_mut(&request_id) else {
-            return Ok(AssemblyEvent::Ignored);
+            return AssemblyEvent::Ignored;
         };
         if pending.body_complete {
-            return Ok(AssemblyEvent::Ignored);
+            return AssemblyEvent::Ignored;
         }
         pending.body_complete = content.is_empty();
         if pending.request.body.len() + content.len() > MAX_BODY_BYTES {
             self.remove(request_id);
-            return Ok(AssemblyEvent::Rejected(
-                request_id,
-                RequestFault::BodyTooLong,
-            ));
+            return AssemblyEvent::Rejected(request_id, RequestFault::BodyTooLong);
         }
         append_exactly(&mut pending.request.body, content);
         self.pending_bytes += content.len();
-        Ok(self.complete_or_check_limit(request_id))
+        self.complete_or_check_limit(request_id)
     }
 
     /// Returns the request once both of its streams have ended, in either order.
--- a/crates/asterdale-fastcgi/tests/request_assembler.rs
+++ b/crates/asterdale-fastcgi/tests/request_assembler.rs
@@ -1,8 +1,6 @@
 //! Assembly of requests from records.
 
-use asterdale_fastcgi::{
-    AssemblyEvent, CompleteRequest, ProtocolError, Record, RequestAssembler, RequestFault,
-};
+use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, Record, RequestAssembler, RequestFault};
 
 fn record(record_type: u8, request_id: u16, content: &[u8]) -> Record<'_> {
     Record {
@@ -26,9 +24,7 @@
         (4, 2, b""),
         (5, 2, b""),
     ] {
-        let event = assembler
-            .handle_record(record(record_type, request_id, content), true)
-            .unwrap();
+        let event = assembler.handle_record(record(record_type, request_id, content), true);
         let request = CompleteRequest {
             params: b"part".to_vec(),
             ..CompleteRequest::default()
@@ -45,11 +41,11 @@
     assert_eq!(assembler.pending_count(), 1);
     assert_eq!(
         assembler.handle_record(record(4, 1, b""), true),
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     );
     assert_eq!(
         assembler.handle_record(record(5, 1, b"\0\xff"), true),
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     );
     let request = CompleteRequest {
         params: b"one".to_vec(),
@@ -58,7 +54,7 @@
     };
     assert_eq!(
         assembler.handle_record(record(5, 1, b""), true),
-        Ok(AssemblyEvent::Complete(1, request))
+        AssemblyEvent::Complete(1, request)
     );
 }
 
@@ -68,7 +64,7 @@
     for (record_type, content) in [(1, BEGIN), (5, &b"body"[..]), (5, b""), (4, b"head")] {
         assert_eq!(
             assembler.handle_record(record(record_type, 1, content), true),
-            Ok(AssemblyEvent::Pending)
+            AssemblyEvent::Pending
         );
     }
     let request = CompleteRequest {
@@ -78,7 +74,7 @@
     };
     assert_eq!(
         assembler.handle_record(record(4, 1, b""), true),
-        Ok(AssemblyEvent::Complete(1, request))
+        AssemblyEvent::Complete(1, request)
     );
     assert_eq!(
         (assembler.pending_count(), assembler.pending_bytes()),
@@ -89,19 +85,19 @@
 #[test]
 fn a_body_that_is_too_long_is_rejected_before_its_end() {
     let mut assembler = RequestAssembler::default();
-    assembler.handle_record(record(1, 1, BEGIN), true).unwrap();
+    assembler.handle_record(record(1, 1, BEGIN), true);
     assert_eq!(
         assembler.handle_record(record(5, 1, &[7; 2048]), true),
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     );
     assert_eq!(
         assembler.handle_record(record(5, 1, &[7]), true),
-        Ok(AssemblyEvent::Rejected(1, RequestFault::BodyTooLong))
+        AssemblyEvent::Rejected(1, RequestFault::BodyTooLong)
     );
     // The rest of the body has no effect, however long it is.
     assert_eq!(
         assembler.handle_record(record(5, 1, &[7; 60_000]), true),
-        Ok(AssemblyEvent::Ignored)
+        AssemblyEvent::Ignored
     );
     assert_eq!(
         (assembler.pending_count(), assembler.pending_bytes()),
@@ -113,87 +109,87 @@
 fn incomplete_requests_have_a_memory_limit() {
     let mut assembler = RequestAssembler::default();
     for round in 0..4 {
-        assembler.handle_record(record(1, 1, BEGIN), true).unwrap();
+        assembler.handle_record(record(1, 1, BEGIN), true);
         assert_eq!(
             assembler.handle_record(record(4, 1, &[0; 60_000]), true),
-            Ok(AssemblyEvent::Pending),
+            AssemblyEvent::Pending,
             "{round}"
         );
-        assembler.handle_record(record(2, 1, b""), true).unwrap();
+        assembler.handle_record(record(2, 1, b""), true);
     }
-    assembler.handle_record(record(1, 1, BEGIN), true).unwrap();
-    assembler.handle_record(record(1, 2, BEGIN), true).unwrap();
+    assembler.handle_record(record(1, 1, BEGIN), true);
+    assembler.handle_record(record(1, 2, BEGIN), true);
     assert_eq!(
         assembler.handle_record(record(4, 1, &[0; 60_000]), true),
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     );
     // The request that grows is dropped, or the largest one if that is another.
     assert_eq!(
         assembler.handle_record(record(4, 2, &[0; 60_000]), true),
-        Ok(AssemblyEvent::Rejected(
-            2,
-            RequestFault::TooManyPendingBytes
-        ))
+        AssemblyEvent::Rejected(2, RequestFault::TooManyPendingBytes)
     );
-    assembler.handle_record(record(1, 2, BEGIN), true).unwrap();
-    assembler
-        .handle_record(record(4, 2, &[0; 30_000]), true)
-        .unwrap();
+    assembler.handle_record(record(1, 2, BEGIN), true);
+    assembler.handle_record(record(4, 2, &[0; 30_000]), true);
     assert_eq!(
         assembler.handle_record(record(4, 2, &[0; 10_000]), true),
-        Ok(AssemblyEvent::Rejected(
-            1,
-            RequestFault::TooManyPendingBytes
-        ))
+        AssemblyEvent::Rejected(1, RequestFault::TooManyPendingBytes)
     );
     // The other one is not affected.
-    assembler.handle_record(record(4, 2, b""), true).unwrap();
-    let event = assembler.handle_record(record(5, 2, b""), true).unwrap();
+    assembler.handle_record(record(4, 2, b""), true);
+    let event = assembler.handle_record(record(5, 2, b""), true);
     assert!(matches!(event, AssemblyEvent::Complete(2, request) if request.params.len() == 40_000));
     assert_eq!(assembler.pending_bytes(), 0);
 }
 
 #[test]
-fn invalid_records_are_answered_or_are_protocol_errors() {
+fn invalid_records_are_answered_and_affect_their_request_alone() {
     let mut assembler = RequestAssembler::default();
     assert_eq!(
         assembler.handle_record(record(1, 1, &[0, 2, 1]), true),
-        Ok(AssemblyEvent::EndRequest(1, 3))
+        AssemblyEvent::EndRequest(1, 3)
     );
     assert_eq!(
         assembler.handle_record(record(1, 1, BEGIN), false),
-        Ok(AssemblyEvent::EndRequest(1, 2))
+        AssemblyEvent::EndRequest(1, 2)
     );
     assert_eq!(
         assembler.handle_record(record(1, 1, &[0]), true),
-        Err(ProtocolError::TruncatedRecord(1))
+        AssemblyEvent::Rejected(1, RequestFault::TruncatedBegin)
     );
     assert_eq!(
         assembler.handle_record(record(1, 1, BEGIN), true),
-        Ok(AssemblyEvent::Pending)
+        AssemblyEvent::Pending
     );
     assert_eq!(
         assembler.handle_record(record(1, 1, BEGIN), true),
-        Err(ProtocolError::DuplicateRequestId(1))
+        AssemblyEvent::Rejected(1, RequestFault::DuplicateId)
     );
+    // What follows could belong to either request of this id, and completes neither.
+    for record_type in [4, 5] {
+        assert_eq!(
+            assembler.handle_record(record(record_type, 1, b""), true),
+            AssemblyEvent::Ignored
+        );
+    }
+    assembler.handle_record(record(1, 1, BEGIN), true);
     assert_eq!(
         assembler.handle_record(record(2, 1, b""), true),
-        Ok(AssemblyEvent::EndRequest(1, 0))
+        AssemblyEvent::EndRequest(1, 0)
     );
     assert_eq!(
         assembler.handle_record(record(2, 1, b""), true),
-        Ok(AssemblyEvent::Abort(1))
+        AssemblyEvent::Abort(1)
     );
     assert_eq!(
         assembler.handle_record(record(4, 9, b"x"), true),
-        Ok(AssemblyEvent::Ignored)
+        AssemblyEvent::Ignored
     );
     assert_eq!(
         assembler.handle_record(record(77, 0, b"x"), true),
-        Ok(AssemblyEvent::UnknownType(77))
+        AssemblyEvent::UnknownType(77)
     );
     assert_eq!(
         assembler.handle_record(record(9, 0, b"x"), true),
-        Ok(AssemblyEvent::GetValues(b"x".to_vec()))
+        AssemblyEvent::GetValues(b"x".to_vec())
     );
 }
