Frontend: a request without KEEP_CONN ends its connection once all are answered

What callers saw: where one request did not ask for the connection to be kept, another one that was not complete on that connection was never read to its end.

Cause: the first such request stopped the reading at once.

Change: it requests the end of the connection, like the drain or the idle check: what its client sends is still read until everything is answered and a read has found nothing. Edge nodes always set the flag; health checks may not.

Evidence: a_request_without_keep_connection_costs_no_other_request_of_its_connection fails on the code before.

--- a/crates/asterdale-daemon/src/frontend/connection/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/closing.rs
@@ -59,12 +59,23 @@
         }
     }
 
-    /// Whether the connection is to end because its client sends nothing but errors.
-    pub fn has_only_errors(&self) -> bool {
-        let may_end = !self.end_requested && !self.has_open_requests();
+    /// Why the connection is to end once it is answered, if what was read from it is a reason.
+    pub fn due_end(&self) -> Option<EndReason> {
+        if self.end_requested {
+            None
+        } else if self.has_unkept_request {
+            Some(EndReason::NotKept)
+        } else {
+            self.has_only_errors().then_some(EndReason::RepeatedErrors)
+        }
+    }
+
+    /// Whether the client sends nothing but errors.
+    fn has_only_errors(&self) -> bool {
         let has_error_replies = self.consecutive_error_replies >= MAX_CONSECUTIVE_ERROR_REPLIES
             && !self.has_partial_request();
-        may_end && (has_error_replies || self.error_budget.spent_since_request() >= MAX_SPENT_UNITS)
+        !self.has_open_requests()
+            && (has_error_replies || self.error_budget.spent_since_request() >= MAX_SPENT_UNITS)
     }
 
     /// Whether reading stops after a read that found nothing: nothing that was received is unanswered.
--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -36,8 +36,6 @@
     Dismissed(Response),
     /// The request or management record is answered with this.
     Error(Response),
-    /// Reading from the connection ends.
-    End(EndReason),
 }
 
 impl Connection {
@@ -91,7 +89,6 @@
                     self.consecutive_error_replies += 1;
                     self.error_budget.charge(released + length, now);
                 }
-                Processed::End(reason) => return Some(ReadOutcome::Ended(reason)),
             }
         }
     }
@@ -159,12 +156,12 @@
     ) -> Processed {
         let keep_connection = request.keep_connection;
         match self.pass_to_engine(context, peer, request_id, request) {
-            Ok(()) if keep_connection => {
+            Ok(()) => {
                 self.consecutive_error_replies = 0;
                 self.error_budget.add_for_request();
+                self.has_unkept_request |= !keep_connection;
                 Processed::Accepted
             }
-            Ok(()) => Processed::End(EndReason::NotKept),
             Err(field) => {
                 context.record_malformed_request(field);
                 Processed::Error(encode_reply(request_id, Reply::Malformed))
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -77,6 +77,8 @@
     has_received_bytes: bool,
     /// Whether a complete and valid request has arrived.
     pub has_received_request: bool,
+    /// Whether a valid request did not ask for the connection to be kept.
+    has_unkept_request: bool,
     /// Replies to invalid requests and to management records since the last valid request.
     consecutive_error_replies: usize,
     error_budget: ErrorBudget,
@@ -113,6 +115,7 @@
             drained_at: not_before,
             has_received_bytes: false,
             has_received_request: false,
+            has_unkept_request: false,
             consecutive_error_replies: 0,
             error_budget: ErrorBudget::new(not_before),
             has_unprocessed_records: false,
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -224,8 +224,8 @@
     fn read(&mut self, number: u64) {
         self.read_once(number);
         let connection = self.connections.get(&number);
-        if connection.is_some_and(Connection::has_only_errors) {
-            self.end_when_answered(number, EndReason::RepeatedErrors);
+        if let Some(reason) = connection.and_then(Connection::due_end) {
+            self.end_when_answered(number, reason);
         }
     }
 
--- a/crates/asterdale-daemon/tests/connections.rs
+++ b/crates/asterdale-daemon/tests/connections.rs
@@ -243,6 +243,27 @@
     backend.counters_until(|count| count("tasks_malformed") == 3);
 }
 
+/// Guards against a request without KEEP_CONN that ends the reading of its connection, while another one is not complete:
+/// the connection ends once both are answered.
+#[test]
+fn a_request_without_keep_connection_costs_no_other_request_of_its_connection() {
+    let backend = Backend::start();
+    let mut edge = backend.connect();
+    let start = unix_ms_text();
+    let bytes = request(1, "/v1/page", &task_fields(ID_A, &start, &[]), b"ask");
+    let (begin, end) = bytes.split_at(bytes.len() - LAST_RECORD_BYTES);
+    edge.send(begin);
+    edge.send(&unkept_request(2, ID_B));
+    assert_eq!(backend.runtime.expect_command("start")["rid"], ID_B);
+    edge.send(end);
+    assert_eq!(backend.runtime.expect_command("start")["rid"], ID_A);
+    for (number, id) in [(2, ID_B), (1, ID_A)] {
+        backend.runtime.send_run_end(id, "PASS", b"");
+        assert_eq!(edge.expect_status(number), "200");
+    }
+    assert_eq!(edge.read_response(), None);
+}
+
 /// Guards against a client that repeats such records without pause for ever: with nothing open on its connection, it
 /// is closed, though it never stops to send.
 #[test]
