Frontend: the largest incomplete requests are dropped, not the connections that carry them

What callers saw: where the incomplete requests of all connections exceeded their share of the memory, the connection that had most of them was read no further, and the requests of others that were written whole on it got no answer.

Cause: end_largest_partial_requests ended a connection, since a buffer that had grown for a long record could be freed only with it.

Change: the largest incomplete request of that connection is dropped and answered 503 with a Retry-After; it never ran. RecordReader can discard the record that is being received: its buffer is freed at once, and the rest is skipped as it comes and charged to the connection's budget. The share is the same, and nothing else is kept: the memory of a dropped request is released before anything more is read.

--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -48,7 +48,7 @@
         let outcome = self.process_until_paused(context, peer, Instant::now());
         self.has_unprocessed_records = matches!(outcome, Some(ReadOutcome::Paused(_)));
         if !self.account_for_buffers(context) {
-            return Some(ReadOutcome::Ended(EndReason::OutOfMemory));
+            return Some(ReadOutcome::OutOfMemory);
         }
         outcome
     }
--- a/crates/asterdale-daemon/src/frontend/connection/end_reason.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/end_reason.rs
@@ -15,8 +15,6 @@
     RepeatedErrors,
     /// What the client sent is not FastCGI.
     Malformed(ProtocolError),
-    /// Incomplete requests of all connections took more memory than their bound, and those of this one took the most.
-    OutOfMemory,
     /// A read or a write failed: replies to open requests can't be delivered.
     Broken,
     /// The client has read nothing for longer than any caller waits: replies to open requests can't be delivered.
@@ -43,7 +41,6 @@
             EndReason::NotKept => &counters.connections_not_kept,
             EndReason::RepeatedErrors => &counters.connections_repeated_errors,
             EndReason::Malformed(_) => &counters.connections_malformed,
-            EndReason::OutOfMemory => &counters.connections_over_memory,
             EndReason::Broken => &counters.connections_broken,
             EndReason::SendStalled => &counters.connections_send_stalled,
             EndReason::CertificateExpired => &counters.connections_lapsed,
@@ -55,7 +52,7 @@
         }
     }
 
-    /// Counts a connection that ends for this reason, and logs it if its client or the memory limit is at fault.
+    /// Counts a connection that ends for this reason, and logs it if its client is at fault.
     pub fn record(self, counters: &Counters, log: &Log) {
         self.counter(counters).add();
         self.log(log);
@@ -64,7 +61,6 @@
     fn log(self, log: &Log) {
         static REPEATED_ERRORS: LogLimit = LogLimit::new();
         static MALFORMED: LogLimit = LogLimit::new();
-        static OUT_OF_MEMORY: LogLimit = LogLimit::new();
         static SEND_STALLED: LogLimit = LogLimit::new();
         static STALLED: LogLimit = LogLimit::new();
         match self {
@@ -74,12 +70,6 @@
             EndReason::Malformed(error) if log.allows(&MALFORMED) => {
                 slog::warn!(log.lines, "frontend: connection ended, malformed input"; "error" => %error);
             }
-            EndReason::OutOfMemory if log.allows(&OUT_OF_MEMORY) => {
-                slog::warn!(
-                    log.lines,
-                    "frontend: connection ended, no memory for its partial requests"
-                );
-            }
             EndReason::SendStalled if log.allows(&SEND_STALLED) => {
                 slog::warn!(
                     log.lines,
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -9,6 +9,7 @@
 mod end_reason;
 mod error_budget;
 mod outcome;
+mod partial_requests;
 mod unsent;
 
 #[cfg(test)]
@@ -161,28 +162,6 @@
         self.last_read_ms.max(last_write_ms)
     }
 
-    /// The memory of its incomplete requests, in bytes, as it was accounted for last.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes
-    }
-
-    /// Accounts for the memory of incomplete requests and of a buffer that is larger than every connection's. Returns
-    /// `false` if that of all connections then exceeds its bound.
-    fn account_for_buffers(&mut self, context: &mut ConnectionContext) -> bool {
-        let long_record_bytes = self
-            .incoming
-            .buffer_bytes()
-            .saturating_sub(DEFAULT_BUFFER_BYTES);
-        self.set_buffered_bytes(context, long_record_bytes + self.requests.pending_bytes())
-    }
-
-    /// Accounts for `bytes` of buffered input. Returns `false` if the input of all connections then exceeds its bound.
-    fn set_buffered_bytes(&mut self, context: &mut ConnectionContext, bytes: usize) -> bool {
-        let fits = context.update_buffered_bytes(self.buffered_bytes, bytes);
-        self.buffered_bytes = bytes;
-        fits
-    }
-
     /// Reads once, and passes the requests that are complete to the engine.
     pub fn read(&mut self, context: &mut ConnectionContext) -> ReadOutcome {
         let Phase::Reading(peer) = &self.phase else {
@@ -206,7 +185,7 @@
         // The buffer may grow for the rest of a record, and the read may then find nothing.
         self.incoming.prepare_read();
         if !self.account_for_buffers(context) {
-            return ReadOutcome::Ended(EndReason::OutOfMemory);
+            return ReadOutcome::OutOfMemory;
         }
         match self.stream.read(self.incoming.free_space()) {
             Ok(0) if peer.has_write_failed() => ReadOutcome::Ended(EndReason::Broken),
@@ -237,6 +216,10 @@
         had_partial_request: bool,
     ) {
         self.incoming.commit(count);
+        let discarded = self.incoming.take_discarded_bytes();
+        if discarded > 0 {
+            self.error_budget.charge_ignored(discarded, Instant::now());
+        }
         self.last_read_ms = context.now_ms();
         self.empty_reads_while_ending = 0;
         // The first bytes may have arrived at any time since the connection did, so `received_not_before` is not
--- a/crates/asterdale-daemon/src/frontend/connection/outcome.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/outcome.rs
@@ -12,6 +12,8 @@
     More,
     /// Nothing more is read before this time, though more may have arrived.
     Paused(Instant),
+    /// The incomplete requests of all connections take more memory than their bound.
+    OutOfMemory,
     /// Reading from the connection ended.
     Ended(EndReason),
 }
--- a/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/closing.rs
@@ -40,8 +40,8 @@
                 continue;
             };
             match connection.read_while_ending(&mut self.context) {
-                ReadOutcome::Ended(EndReason::OutOfMemory) => {
-                    self.end_largest_partial_requests();
+                ReadOutcome::OutOfMemory => {
+                    self.drop_largest_partial_requests();
                     self.ending.push(number);
                 }
                 ReadOutcome::Ended(reason) => self.stop_reading(number, reason),
--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -241,24 +241,26 @@
             ReadOutcome::More => self.read_queue.push_back(number),
             ReadOutcome::Drained => connection.read_scheduled = false,
             ReadOutcome::Paused(resume_at) => self.paused.push(Reverse((resume_at, number))),
-            ReadOutcome::Ended(EndReason::OutOfMemory) => {
-                self.end_largest_partial_requests();
+            ReadOutcome::OutOfMemory => {
+                self.drop_largest_partial_requests();
                 self.read_queue.push_back(number);
             }
             ReadOutcome::Ended(reason) => self.stop_reading(number, reason),
         }
     }
 
-    /// Ends the connections with the largest incomplete requests until those of all connections are within their bound.
-    /// The one that has exceeded the bound is seldom the one that fills it.
-    pub(super) fn end_largest_partial_requests(&mut self) {
+    /// Drops incomplete requests, on the connections that have the most of them, until those of all connections are
+    /// within their bound. The connection that has exceeded the bound is seldom the one that fills it.
+    pub(super) fn drop_largest_partial_requests(&mut self) {
         while self.context.buffered_bytes > self.context.max_buffered_bytes {
-            let connections = self.connections.iter();
-            let largest = connections.max_by_key(|(_, connection)| connection.buffered_bytes());
-            let Some((&number, _)) = largest else {
+            let connections = self.connections.values_mut();
+            let largest = connections
+                .filter(|connection| connection.buffered_bytes() > 0)
+                .max_by_key(|connection| connection.buffered_bytes());
+            let Some(connection) = largest else {
                 return;
             };
-            self.stop_reading(number, EndReason::OutOfMemory);
+            connection.drop_largest_partial_request(&mut self.context);
         }
     }
 
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -139,6 +139,9 @@
     requests_overloaded,
     /// Requests that were rejected because there was no memory for them; they are not among `tasks_taken`.
     requests_over_memory,
+    /// Incomplete requests and records that were dropped because all of them took too much memory; the requests among
+    /// them are also in `requests_over_memory`.
+    partial_requests_over_memory,
     /// Requests that were discarded because a request with the same number was open.
     requests_duplicate,
     /// Runs that were started at the runtime.
@@ -183,8 +186,6 @@
     connections_stalled,
     /// Connections that were closed after too many consecutive error replies.
     connections_repeated_errors,
-    /// Connections that were closed as their incomplete requests took too much memory.
-    connections_over_memory,
     /// Connections that a peer reset.
     connections_broken,
     /// Connections whose peer read no replies.
--- a/crates/asterdale-fastcgi/src/record_reader.rs
+++ b/crates/asterdale-fastcgi/src/record_reader.rs
@@ -28,6 +28,10 @@
     /// The unparsed bytes are `buffer[start..end]`.
     start: usize,
     end: usize,
+    /// How many bytes of a discarded record have not been received yet.
+    awaited_discard: usize,
+    /// How many bytes of discarded records were received since this was last asked for.
+    discarded: usize,
 }
 
 impl RecordReader {
@@ -52,6 +56,30 @@
     /// Adds `count` bytes, which were read into [`RecordReader::free_space`], to the unparsed bytes.
     pub fn commit(&mut self, count: usize) {
         self.end += count;
+        let discarded = self.awaited_discard.min(count);
+        self.awaited_discard -= discarded;
+        self.start += discarded;
+        self.discarded += discarded;
+    }
+
+    /// Discards the record whose header has been received, if there is one, and frees the buffer that was kept for it.
+    /// Returns the request that the record belongs to.
+    pub fn discard_record(&mut self) -> Option<u16> {
+        let request_id = self.record_length().map(|record_length| {
+            let header = &self.buffer[self.start..];
+            let request_id = u16::from_be_bytes([header[2], header[3]]);
+            let received = record_length.min(self.end - self.start);
+            self.start += received;
+            self.awaited_discard = record_length - received;
+            request_id
+        });
+        self.prepare_read();
+        request_id
+    }
+
+    /// Returns how many bytes were received and discarded since the last call.
+    pub fn take_discarded_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.discarded)
     }
 
     /// The size of the buffer, in bytes.
@@ -59,9 +87,9 @@
         self.buffer.len()
     }
 
-    /// Whether every received byte has been parsed.
+    /// Whether every received byte has been parsed, and no record has been received in part.
     pub fn is_empty(&self) -> bool {
-        self.start == self.end
+        self.start == self.end && self.awaited_discard == 0
     }
 
     /// The length of the first record with header and padding, in bytes; `None` until its header is complete.
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -184,22 +184,29 @@
             return AssemblyEvent::Pending;
         }
         // The largest request is at least as long as the record that has exceeded the limit, so the rest is within it.
-        let largest = self.largest_pending(request_id).unwrap_or(request_id);
+        let largest = self
+            .largest_pending(Some(request_id))
+            .map_or(request_id, |(id, _)| id);
         self.remove(largest);
         AssemblyEvent::Rejected(largest, RequestFault::TooManyPendingBytes)
     }
 
-    /// The incomplete request that takes the most memory; of several, `preferred`.
-    fn largest_pending(&self, preferred: u16) -> Option<u16> {
-        let size = |(&id, pending): (&u16, &PendingRequest)| {
-            let request = &pending.request;
-            (request.params.len() + request.body.len(), id == preferred)
-        };
-        let largest = self
-            .pending
+    /// The incomplete request that takes the most memory, and its length in bytes; of several, `preferred`.
+    pub fn largest_pending(&self, preferred: Option<u16>) -> Option<(u16, usize)> {
+        self.pending
             .iter()
-            .max_by_key(|&(id, pending)| size((id, pending)));
-        largest.map(|(&id, _)| id)
+            .map(|(&id, pending)| {
+                (
+                    id,
+                    pending.request.params.len() + pending.request.body.len(),
+                )
+            })
+            .max_by_key(|&(id, length)| (length, Some(id) == preferred))
+    }
+
+    /// Drops an incomplete request; the rest of its records will be ignored. Returns whether there was one.
+    pub fn drop_pending(&mut self, request_id: u16) -> bool {
+        self.remove(request_id).is_some()
     }
 
     fn remove(&mut self, request_id: u16) -> Option<CompleteRequest> {
