FastCGI: a GET_VALUES query is answered for its first 1,024 bytes

Cause: a query of 64 KiB holds 32,000 names, each compared with three variables: some 300 us of work for one record.

Change: only the first 1,024 bytes are looked at, several times what all known names take. A peer that asks for more gets the variables that it named first.

Evidence: the assembler's test of invalid records fails without it.

--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -11,6 +11,8 @@
 const MAX_PENDING_BYTES: usize = 96 * 1024;
 /// The platform's limit for a request body, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024;
+/// Bytes of a GET_VALUES query that are answered, several times what all variables of the specification take.
+const MAX_QUERY_BYTES: usize = 1024;
 /// The role FCGI_RESPONDER, the only one that is implemented.
 const ROLE_RESPONDER: u16 = 1;
 /// The flag FCGI_KEEP_CONN of BEGIN_REQUEST.
@@ -228,7 +230,10 @@
 /// The event for a record of request id 0. Record types that belong to a request are ignored.
 fn management_event(record_type: u8, content: &[u8]) -> AssemblyEvent {
     match record_type {
-        record_type::GET_VALUES => AssemblyEvent::GetValues(content.to_vec()),
+        record_type::GET_VALUES => {
+            let length = content.len().min(MAX_QUERY_BYTES);
+            AssemblyEvent::GetValues(content[..length].to_vec())
+        }
         record_type::BEGIN_REQUEST..=record_type::STDIN => AssemblyEvent::Ignored,
         unknown => AssemblyEvent::UnknownType(unknown),
     }
--- a/crates/asterdale-fastcgi/tests/request_assembler.rs
+++ b/crates/asterdale-fastcgi/tests/request_assembler.rs
@@ -192,4 +192,9 @@
         assembler.handle_record(record(9, 0, b"x"), true),
         AssemblyEvent::GetValues(b"x".to_vec())
     );
+    // A query that is far longer than all known variables is answered in part.
+    assert_eq!(
+        assembler.handle_record(record(9, 0, &[0; 60_000]), true),
+        AssemblyEvent::GetValues(vec![0; 1024])
+    );
 }
