--- a/crates/asterdale-daemon/src/frontend/tests.rs
+++ b/crates/asterdale-daemon/src/frontend/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the frontend that need its private state: requests that arrive while a connection is ending, and replies
 //! that a client's socket does not accept at once.
 
+mod endings;
 mod memory;
 mod support;
 
--- a/crates/asterdale-daemon/tests/connections.rs
+++ b/crates/asterdale-daemon/tests/connections.rs
@@ -6,7 +6,8 @@
 
 use asterdale_fastcgi::record_type;
 use asterdale_testkit::scripted::{
-    record, request, task_fields, unix_ms_text, Backend, EdgeConnection, Response, WAIT_TIMEOUT,
+    record, request, task_fields, unix_ms_text, wait_until, Backend, EdgeConnection, Response,
+    WAIT_TIMEOUT,
 };
 use serde_json::json;
 
@@ -314,3 +315,36 @@
     drop(backend);
     flood.join().unwrap();
 }
+
+/// Guards against runs for clients that are gone: a connection that is reset aborts what is open on it.
+#[test]
+fn a_connection_that_is_reset_aborts_its_open_requests() {
+    let backend = Backend::start();
+    let mut edge = connection_with_running_request(&backend);
+    edge.send(&record(record_type::GET_VALUES, 0, &[]));
+    wait_until("an unread reply", || edge.stream.peek(&mut [0]).is_ok());
+    drop(edge);
+    backend.counters_until(|count| {
+        count("tasks_aborted") == 1 && count("tasks_open") == 0 && count("connections_broken") == 1
+    });
+}
+
+/// Guards against a connection that is kept for ever for a request whose rest never comes.
+#[test]
+fn a_connection_with_nothing_but_a_stalled_request_ends() {
+    let backend = Backend::start_before_runtime(|config| {
+        for class in config["settings"]["lanes"].as_array_mut().unwrap() {
+            class["deadlineNs"] = json!(1_000_000_000);
+            class["objectiveNs"] = json!(500_000_000);
+        }
+    });
+    backend.runtime.set_ready();
+    let mut edge = connection_with_running_request(&backend);
+    backend.runtime.send_run_end(ID_A, "PASS", b"");
+    assert_eq!(edge.expect_status(1), "200");
+    edge.send(&record(record_type::BEGIN_REQUEST, 2, BEGIN));
+    assert_eq!(edge.read_response(), None);
+    backend.counters_until(|count| {
+        count("connections_stalled") == 1 && count("connections_malformed") == 0
+    });
+}
