FastCGI: a large input buffer is freed whole, so that the next one can use its memory

Cause: prepare_read cut a buffer of 64 KiB down to 4 KiB in its place. The 4 KiB stayed at the head of the region, so what was left of it was too small for the next large buffer, which took fresh memory. No owner in the ledger grew: memory_partial_requests is within its share.

Change: the unparsed bytes move to a new buffer, and the old one is freed whole.

--- a/crates/asterdale-fastcgi/src/record_reader.rs
+++ b/crates/asterdale-fastcgi/src/record_reader.rs
@@ -42,11 +42,18 @@
         self.start = 0;
         let required_bytes = self.record_length().unwrap_or(0).max(DEFAULT_BUFFER_BYTES);
         if self.buffer.len() != required_bytes && self.end < required_bytes {
-            self.buffer.resize(required_bytes, 0);
-            self.buffer.shrink_to(required_bytes);
+            self.replace_buffer(required_bytes);
         }
     }
 
+    /// Moves the unparsed bytes, which start at 0, to a buffer of this size. The old one is freed whole: a part of it
+    /// that stayed allocated would keep the rest from being used for the next large buffer.
+    fn replace_buffer(&mut self, size: usize) {
+        let mut buffer = vec![0; size];
+        buffer[..self.end].copy_from_slice(&self.buffer[..self.end]);
+        self.buffer = buffer;
+    }
+
     /// The buffer space for the next read. The space is never empty. Call [`RecordReader::commit`] after the read.
     pub fn free_space(&mut self) -> &mut [u8] {
         self.prepare_read();
