Frontend: malformed input ends its connection also when memory is exceeded

Cause: since incomplete requests are dropped alone, a read that found both malformed bytes and too little memory reported the memory, and the malformed bytes were looked at again only when more came; the connection ended as silent after 2 s.

Change: the end of the connection comes first; it frees the buffers that exceeded the bound.

Evidence: malformed_input_ends_its_connection_also_when_the_share_is_exceeded fails on the code before.

--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -47,10 +47,13 @@
     ) -> Option<ReadOutcome> {
         let outcome = self.process_until_paused(context, peer, Instant::now());
         self.has_unprocessed_records = matches!(outcome, Some(ReadOutcome::Paused(_)));
-        if !self.account_for_buffers(context) {
-            return Some(ReadOutcome::OutOfMemory);
+        let fits = self.account_for_buffers(context);
+        match outcome {
+            // The end of the connection frees its buffers.
+            Some(ReadOutcome::Ended(_)) => outcome,
+            _ if !fits => Some(ReadOutcome::OutOfMemory),
+            _ => outcome,
         }
-        outcome
     }
 
     fn process_until_paused(
--- a/crates/asterdale-daemon/src/frontend/tests/memory.rs
+++ b/crates/asterdale-daemon/src/frontend/tests/memory.rs
@@ -67,6 +67,25 @@
     clients
 }
 
+/// Connects clients whose records never end, until less than `room` bytes of the share of incomplete requests are left.
+fn fill_share(
+    frontend: &TestFrontend,
+    share: usize,
+    room: usize,
+) -> Vec<EdgeConnection<TcpStream>> {
+    let buffered = || frontend.counters.memory_partial_requests.get() as usize;
+    let mut clients = Vec::new();
+    while share - buffered() >= room {
+        let (before, left) = (buffered(), share - buffered());
+        let length = (left + DEFAULT_BUFFER_BYTES).min(u16::MAX.into()) - RECORD_HEAD_BYTES;
+        let mut client = EdgeConnection::new(frontend.connect());
+        client.send(&long_record_head(length as u16));
+        clients.push(client);
+        wait_until("a larger buffer", || buffered() > before);
+    }
+    clients
+}
+
 /// Guards against requests that wait for the engine without a bound in bytes: a burst of them took the process over its
 /// memory limit.
 #[test]
@@ -218,17 +237,8 @@
     sound.send(begin);
     let buffered = || frontend.counters.memory_partial_requests.get() as usize;
     wait_until("half a request", || buffered() > 0);
-    // Clients whose records never end fill the share up to less than that request's body.
     let share = start.memory.partial_requests;
-    let mut clients = Vec::new();
-    while share - buffered() >= BODY_BYTES / 2 {
-        let (before, room) = (buffered(), share - buffered());
-        let length = (room + DEFAULT_BUFFER_BYTES).min(u16::MAX.into()) - RECORD_HEAD_BYTES;
-        let mut client = EdgeConnection::new(frontend.connect());
-        client.send(&long_record_head(length as u16));
-        clients.push(client);
-        wait_until("a larger buffer", || buffered() > before);
-    }
+    let clients = fill_share(&frontend, share, BODY_BYTES / 2);
     sound.send(body);
     wait_until("the drop of a larger one", || {
         frontend.counters.partial_requests_over_memory.get() > 0
@@ -239,6 +249,23 @@
     request.answer(Reply::Failed);
     assert_eq!(sound.expect_status(2), "500");
     assert!(buffered() <= share);
+    drop(clients);
+}
+
+/// Guards against malformed input that is forgotten because incomplete requests exceed their share at the same time.
+#[test]
+fn malformed_input_ends_its_connection_also_when_the_share_is_exceeded() {
+    let start = start_file();
+    let frontend = TestFrontend::start(&start, 1);
+    let share = start.memory.partial_requests;
+    let clients = fill_share(&frontend, share, BODY_BYTES / 2);
+    let mut malformed = EdgeConnection::new(frontend.connect());
+    let begin = &largest_request(0, 1)[..BEGIN_RECORD_BYTES];
+    let params = record(record_type::PARAMS, 1, &[0; BODY_BYTES]);
+    malformed.send(&[begin, &params, b"GET / HTTP/1.1"].concat());
+    assert_eq!(malformed.read_response(), None);
+    assert_eq!(frontend.counters.connections_malformed.get(), 1);
+    drop(clients);
 }
 
 /// Guards against a connection that is read no further because one incomplete request on it takes the most memory of all:
