--- a/crates/asterdale-fastcgi/tests/request_assembler.rs
+++ b/crates/asterdale-fastcgi/tests/request_assembler.rs
@@ -184,6 +184,11 @@
         assembler.handle_record(record(4, 9, b"x"), true),
         AssemblyEvent::Ignored
     );
+}
+
+#[test]
+fn management_records_are_answered() {
+    let mut assembler = RequestAssembler::default();
     assert_eq!(
         assembler.handle_record(record(77, 0, b"x"), true),
         AssemblyEvent::UnknownType(77)
