A keyed request is refused only once the idempotency table was asked for its key

Cause: the front end refused for want of memory, for 32 open requests on a connection (OVERLOADED), and for an incomplete request that gives way (503), and none of these paths asks the table, which the engine owns. The full table has a counter of its own now, as `requests_overloaded` could not tell it from the bound of open requests.

Change: a keyed request without capacity goes to the engine to be looked up. A repeat gets its result or joins its run from a share of memory of its own, taken from that of open requests; anything else is refused as before. A repeat without memory gets 500 with X-Outcome: unknown. Requests beyond 32 are read, 32 at most, before they are answered; one that is answered at its first record, or dropped before its class is known, gets 500. Every refusal of the engine passes one check: none is sent for a retained key, also after its window and for a quota, a full table, a lookup at the replicas.

--- a/crates/asterdale-daemon/src/assembly/mod.rs
+++ b/crates/asterdale-daemon/src/assembly/mod.rs
@@ -54,7 +54,7 @@
     let (engine, mailbox) = bounded(ENGINE_MAILBOX_CAPACITY);
     let context = ActorContext {
         engine,
-        request_memory: MemoryAccount::new(start.memory.open_requests),
+        request_memory: MemoryAccount::new(&start.memory),
         counters: Arc::default(),
         log: log.clone(),
     };
--- a/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/dispatch.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use asterdale_engine::memory::{request_bytes, MemoryReservation, REPLY_BYTES};
-use asterdale_engine::message::{EngineMessage, Reply, Request, RequestHead, ResponseRoute};
+use asterdale_engine::message::{EngineMessage, Reply, ResponseRoute, Shortage};
 use asterdale_fastcgi::{
     end_request_response, protocol_status, unknown_type_response, values_response,
 };
 use asterdale_fastcgi::{AssemblyEvent, CompleteRequest, Response};
 
+use super::admission::ReceivedTask;
 use super::{Connection, EndReason, ReadOutcome};
-use crate::frontend::admitted_request::AdmittedRequest;
 use crate::frontend::context::ConnectionContext;
 use crate::frontend::peer::Peer;
 use crate::frontend::reply::encode_reply;
@@ -19,19 +18,23 @@
 
 /// Open requests that one connection may carry; set by the platform's protocol.
 pub(super) const MAX_OPEN_REQUESTS: usize = 32;
+/// Requests beyond that which are read all the same, so that repeats of earlier requests are found among them.
+const MAX_EXCESS_REQUESTS: usize = 32;
 /// Upper bound of the records that answer no request of the engine and wait for the writer. Reading pauses beyond it.
 pub(super) const MAX_UNWRITTEN_RECORDS: usize = 4;
 /// How long reading pauses for the writer.
 const UNWRITTEN_RECORDS_PAUSE: Duration = Duration::from_millis(1);
 
 /// The result of processing one record.
-enum Processed {
+pub(super) enum Processed {
     /// It is part of a valid request.
     Accepted,
     /// It has no effect.
     Ignored,
     /// It aborts a request that was complete.
     Abort,
+    /// It completes a request beyond the number that may be open, which the engine looks up.
+    Excess,
     /// The request is not accepted, though nothing is wrong with it: it is aborted, or there are too many.
     Dismissed(Response),
     /// The request or management record is answered with this.
@@ -79,13 +82,14 @@
             let length = record.content.len();
             let event = self
                 .requests
-                .handle_record(record, open < MAX_OPEN_REQUESTS);
+                .handle_record(record, open < MAX_OPEN_REQUESTS + MAX_EXCESS_REQUESTS);
             // The request that the record completed or ended.
             let released = bytes_before.saturating_sub(self.requests.pending_bytes());
             match self.process_event(context, peer, event) {
                 Processed::Accepted => {}
                 Processed::Ignored => self.error_budget.charge_ignored(length, now),
                 Processed::Abort => self.error_budget.charge(0, now),
+                Processed::Excess => self.error_budget.charge(released, now),
                 Processed::Dismissed(reply) => {
                     self.send_or_withhold(peer, reply);
                     self.error_budget.charge(released, now);
@@ -133,9 +137,6 @@
                 Processed::Abort
             }
             AssemblyEvent::EndRequest(request_id, status) => {
-                if status == protocol_status::OVERLOADED {
-                    context.counters.requests_overloaded.add();
-                }
                 let reply = end_request_response(request_id, status);
                 if status == protocol_status::UNKNOWN_ROLE {
                     Processed::Error(reply)
@@ -143,6 +144,11 @@
                     Processed::Dismissed(reply)
                 }
             }
+            AssemblyEvent::NotAccepted(request_id) => {
+                // Its key is not known, so the reply does not state that it never ran.
+                let reply = context.refuse(Shortage::OpenRequests).without_claim();
+                Processed::Dismissed(encode_reply(request_id, reply))
+            }
             AssemblyEvent::Rejected(request_id, fault) => {
                 context.record_malformed_request(fault);
                 Processed::Error(encode_reply(request_id, Reply::Malformed))
@@ -164,97 +170,72 @@
         request: CompleteRequest,
     ) -> Processed {
         let keep_connection = request.keep_connection;
-        match self.pass_to_engine(context, peer, request_id, request) {
-            Ok(()) => {
-                self.consecutive_error_replies = 0;
-                self.error_budget.add_for_request();
-                self.has_unkept_request |= !keep_connection;
-                self.release_withheld(peer);
-                Processed::Accepted
-            }
-            Err(field) => {
-                context.record_malformed_request(field);
-                Processed::Error(encode_reply(request_id, Reply::Malformed))
-            }
+        let processed = self.pass_to_engine(context, peer, request_id, request);
+        if matches!(processed, Processed::Accepted) {
+            self.consecutive_error_replies = 0;
+            self.error_budget.add_for_request();
+            self.has_unkept_request |= !keep_connection;
+            self.release_withheld(peer);
         }
+        processed
     }
 
     /// Passes a complete request or health check to the engine.
-    ///
-    /// # Errors
-    /// The name of a field that is missing or invalid.
     fn pass_to_engine(
         &mut self,
         context: &ConnectionContext,
         peer: &Arc<Peer>,
         request_id: u16,
         request: CompleteRequest,
-    ) -> Result<(), &'static str> {
+    ) -> Processed {
         let target = request_head::parse(
             &request.params,
             &context.settings,
             context.identity_required,
-        )?;
-        let message = match target {
-            RequestTarget::HealthCheck { deep } => EngineMessage::HealthCheck {
-                client: peer.clone(),
-                request: request_id,
-                deep,
-            },
-            RequestTarget::Task(head, token) => {
-                let (counters, body) = (&context.counters, request.body);
-                let Some(mut memory) = reserve(peer, &head, token.as_deref(), &body) else {
-                    self.reject_for_memory(context, peer, request_id);
-                    return Ok(());
-                };
-                let reply_memory = memory.split_off(REPLY_BYTES);
-                let queued = Request::gauge_part(counters, &head, token.as_deref(), &body);
-                EngineMessage::Request(Box::new(Request {
+        );
+        match target {
+            Ok(RequestTarget::HealthCheck { deep }) => {
+                self.pass_health_check(context, peer, request_id, deep)
+            }
+            Ok(RequestTarget::Task(head, token)) => {
+                let task = ReceivedTask {
+                    request: request_id,
                     head,
                     token,
-                    certificate: self.stream.certificate(),
-                    body,
-                    client: AdmittedRequest::new(peer.clone(), reply_memory),
-                    request: request_id,
-                    received_at: self.received_not_before,
-                    memory,
-                    queued: Some(queued),
-                }))
+                    body: request.body,
+                };
+                self.pass_task(context, peer, task)
             }
-        };
-        self.add_open_request(peer);
-        // The engine's mailbox closes only when the process ends.
-        let _ = context.engine.send(message);
-        Ok(())
-    }
-
-    fn add_open_request(&mut self, peer: &Peer) {
-        self.has_received_request = true;
-        peer.add_open_request();
+            Err(field) => {
+                context.record_malformed_request(field);
+                Processed::Error(encode_reply(request_id, Reply::Malformed))
+            }
+        }
     }
 
-    /// Answers a valid request that there is no memory for. It counts as open until its reply is written, which bounds
-    /// the replies that are queued for one connection.
-    fn reject_for_memory(
+    fn pass_health_check(
         &mut self,
         context: &ConnectionContext,
         peer: &Arc<Peer>,
         request_id: u16,
-    ) {
+        deep: bool,
+    ) -> Processed {
+        if peer.open_requests() >= MAX_OPEN_REQUESTS {
+            let refusal = context.refuse(Shortage::OpenRequests);
+            return Processed::Dismissed(encode_reply(request_id, refusal));
+        }
         self.add_open_request(peer);
-        let reply = context.reject_for_memory();
-        peer.answer_request(request_id, reply, MemoryReservation::default());
+        // The engine's mailbox closes only when the process ends.
+        let _ = context.engine.send(EngineMessage::HealthCheck {
+            client: peer.clone(),
+            request: request_id,
+            deep,
+        });
+        Processed::Accepted
     }
-}
 
-/// Reserves the memory of a request and its reply; `None` if there is none for it now.
-fn reserve(
-    peer: &Peer,
-    head: &RequestHead,
-    token: Option<&[u8]>,
-    body: &[u8],
-) -> Option<MemoryReservation> {
-    let key = head.idempotency_key.as_ref();
-    let other_parts = key.map_or(0, |key| key.bytes.len()) + token.map_or(0, <[u8]>::len);
-    peer.reserve(request_bytes(body.len(), other_parts) + REPLY_BYTES)
+    pub(super) fn add_open_request(&mut self, peer: &Peer) {
+        self.has_received_request = true;
+        peer.add_open_request();
+    }
 }
--- a/crates/asterdale-daemon/src/frontend/connection/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/mod.rs
@@ -4,6 +4,7 @@
 //! engine. While *answering*, nothing more is read but outstanding replies still go out. While *lingering*, everything is
 //! answered, and what the client still sends is discarded until the socket can be closed without a reset ([`closing`]).
 
+mod admission;
 mod closing;
 mod dispatch;
 mod end_reason;
--- a/crates/asterdale-daemon/src/frontend/connection/partial_requests.rs
+++ b/crates/asterdale-daemon/src/frontend/connection/partial_requests.rs
@@ -4,10 +4,12 @@
 
 use asterdale_engine::log::LogLimit;
 use asterdale_engine::memory::MemoryReservation;
-use asterdale_fastcgi::DEFAULT_BUFFER_BYTES;
+use asterdale_engine::message::Shortage;
+use asterdale_fastcgi::{DroppedRequest, DEFAULT_BUFFER_BYTES};
 
 use super::Connection;
 use crate::frontend::context::ConnectionContext;
+use crate::frontend::request_head;
 
 impl Connection {
     /// The memory of its incomplete requests, in bytes, as it was accounted for last.
@@ -51,22 +53,37 @@
             _ => self.incoming.discard_record(),
         };
         record_drop(context);
-        if let Some(id) = request_id.filter(|&id| self.requests.drop_pending(id)) {
-            self.reject_dropped_request(context, id);
+        let dropped = request_id.and_then(|id| Some((id, self.requests.drop_pending(id)?)));
+        if let Some((id, request)) = dropped {
+            self.answer_dropped_request(context, id, &request);
         }
         self.account_for_buffers(context);
         let dropped_bytes = bytes_before.saturating_sub(self.buffered_bytes);
         self.error_budget.charge(dropped_bytes, Instant::now());
     }
 
-    /// The request counts as open until its reply is written, which bounds the replies that are queued for the
-    /// connection.
-    fn reject_dropped_request(&self, context: &ConnectionContext, request_id: u16) {
-        if let Some(peer) = self.peer() {
-            peer.add_open_request();
-            let reply = context.reject_for_memory();
-            peer.answer_request(request_id, reply, MemoryReservation::default());
-        }
+    /// Answers a request that was dropped before it was complete. The reply states that it never ran only if no earlier
+    /// attempt of it can have run either. The request counts as open until its reply is written, which bounds the
+    /// replies that are queued for the connection.
+    fn answer_dropped_request(
+        &self,
+        context: &ConnectionContext,
+        request_id: u16,
+        dropped: &DroppedRequest,
+    ) {
+        let Some(peer) = self.peer() else { return };
+        let refusal = context.refuse(Shortage::Memory);
+        let params = dropped.params.as_deref();
+        let may_be_keyed =
+            params.is_none_or(|params| request_head::names_keyed_class(params, &context.settings));
+        let reply = if may_be_keyed {
+            context.counters.tasks_unknown.add();
+            refusal.without_claim()
+        } else {
+            refusal
+        };
+        peer.add_open_request();
+        peer.answer_request(request_id, reply, MemoryReservation::default());
     }
 }
 
--- a/crates/asterdale-daemon/src/frontend/context.rs
+++ b/crates/asterdale-daemon/src/frontend/context.rs
@@ -6,8 +6,8 @@
 
 use asterdale_engine::counters::Counters;
 use asterdale_engine::log::{Log, LogLimit};
-use asterdale_engine::memory::{spread_retry_after_ms, MemoryAccount};
-use asterdale_engine::message::{EngineMessage, Reply};
+use asterdale_engine::memory::MemoryAccount;
+use asterdale_engine::message::{EngineMessage, Reply, Shortage};
 use asterdale_parameters::Settings;
 use crossbeam_channel::Sender;
 
@@ -50,20 +50,15 @@
         }
     }
 
-    /// Counts and logs a request that there is no memory for. Returns its reply.
-    pub fn reject_for_memory(&self) -> Reply {
+    /// Counts and logs a request that is refused for this reason. Returns its reply.
+    pub fn refuse(&self, shortage: Shortage) -> Reply {
         static NO_MEMORY: LogLimit = LogLimit::new();
-        let rejected = &self.counters.requests_over_memory;
-        rejected.add();
-        if self.log.allows(&NO_MEMORY) {
+        if shortage == Shortage::Memory && self.log.allows(&NO_MEMORY) {
             slog::warn!(self.log.lines, "frontend: request rejected, no memory for it";
                 "reserved_bytes" => self.request_memory.used());
         }
-        let max_ms = self.settings.decisions.max_retry_after_ms;
-        Reply::Rejected {
-            is_final: false,
-            retry_after_ms: spread_retry_after_ms(max_ms, rejected.get()),
-        }
+        let max_retry_after_ms = self.settings.decisions.max_retry_after_ms;
+        shortage.refuse(&self.counters, max_retry_after_ms)
     }
 
     /// Accounts for a connection whose buffers change from `previous` to `current` bytes. Returns `false` if the
--- a/crates/asterdale-daemon/src/frontend/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/mod.rs
@@ -23,6 +23,7 @@
 mod stream;
 #[cfg(feature = "tls")]
 mod tls;
+mod unreserved_request;
 mod writer;
 
 #[cfg(test)]
--- a/crates/asterdale-daemon/src/frontend/peer.rs
+++ b/crates/asterdale-daemon/src/frontend/peer.rs
@@ -94,7 +94,7 @@
         self.open_requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Records passed to [`Peer::send_record`] that the writer has not started to write.
+    /// Records passed to [`Peer::send_record`], or counted in advance, that the writer has not started to write.
     pub fn unwritten_records(&self) -> usize {
         self.unwritten_records.load(Ordering::Relaxed)
     }
@@ -119,6 +119,11 @@
         self.memory.reserve(bytes)
     }
 
+    /// Reserves memory for a request that repeats an earlier one; `None` if there is none for it now.
+    pub fn reserve_for_repeat(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.memory.reserve_for_repeat(bytes)
+    }
+
     /// Answers a request that [`Peer::open_requests`] counts. The reply is queued for the writer, whose queue is bounded
     /// by the number of open requests. `memory` is released once the reply is written.
     pub fn answer_request(self: &Arc<Peer>, request: u16, reply: Reply, memory: MemoryReservation) {
@@ -141,11 +146,26 @@
 
     /// Queues a record that does not answer a request that was passed to the engine.
     pub fn send_record(self: &Arc<Peer>, response: Response) {
+        self.add_unwritten_record();
+        self.answer_record(response);
+    }
+
+    /// Counts one more record as not written, before there is one.
+    pub fn add_unwritten_record(&self) {
         self.unwritten_records.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Queues a record that [`Peer::add_unwritten_record`] has counted.
+    pub fn answer_record(self: &Arc<Peer>, response: Response) {
         self.clone()
             .queue(response, false, MemoryReservation::default());
     }
 
+    /// Notes that a record that [`Peer::add_unwritten_record`] has counted will not be sent.
+    pub fn discard_record(&self) {
+        self.unwritten_records.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Bytes of this peer's stream that are encrypted and that the socket has not accepted.
     pub fn unsent_bytes(&self) -> usize {
         self.stream.unsent_bytes()
--- a/crates/asterdale-daemon/src/frontend/request_head.rs
+++ b/crates/asterdale-daemon/src/frontend/request_head.rs
@@ -170,6 +170,18 @@
     }
 }
 
+/// Whether repeats of this request are recognised by an idempotency key.
+pub fn is_keyed(head: &RequestHead, settings: &Settings) -> bool {
+    settings.decisions.classes[head.class].idempotency == Idempotency::Keyed
+}
+
+/// Whether these parameters, which may be invalid otherwise, are of a request with an idempotency key.
+pub fn names_keyed_class(params: &[u8], settings: &Settings) -> bool {
+    let raw = RawHead::collect(params, false);
+    let class = raw.ok().and_then(|raw| raw.class(settings).ok());
+    class.is_some_and(|class| settings.decisions.classes[class].idempotency == Idempotency::Keyed)
+}
+
 /// The token in `Authorization: Bearer TOKEN` (RFC 6750). For any other scheme it is the complete value, which is not a
 /// valid token.
 fn bearer_token(value: &[u8]) -> Box<[u8]> {
--- a/crates/asterdale-daemon/src/frontend/tests.rs
+++ b/crates/asterdale-daemon/src/frontend/tests.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use asterdale_engine::mailbox::{self, MailboxReceiver};
-use asterdale_engine::memory::MemoryAccount;
+use asterdale_engine::memory::{MemoryAccount, MemoryBudget};
 use asterdale_engine::message::{EngineMessage, Frontends, Reply};
 use asterdale_fastcgi::Response;
 use crossbeam_channel::{unbounded, Sender};
@@ -91,7 +91,7 @@
         writer.clone(),
         event_loop,
         Arc::default(),
-        MemoryAccount::new(0),
+        MemoryAccount::new(&MemoryBudget::default()),
     );
     let client = listener.accept().unwrap().0;
     (peer, client, commands)
--- a/crates/asterdale-daemon/src/upgrade/relay.rs
+++ b/crates/asterdale-daemon/src/upgrade/relay.rs
@@ -7,8 +7,8 @@
 use asterdale::events::Outcome;
 use asterdale_engine::memory::{BytePermit, MemoryReservation};
 use asterdale_engine::message::{
-    CallEnd, Connection, EngineMessage, IdempotencyKey, Reply, Request, RequestHead, RequestId,
-    ResponseRoute, TaskId,
+    CallEnd, Connection, EngineMessage, IdempotencyKey, Reply, Request, RequestCapacity,
+    RequestHead, RequestId, ResponseRoute, TaskId,
 };
 use asterdale_engine::state_transfer::{HotRestartStep, SuccessorLink};
 use asterdale_hot_restart::message::frame::Payload;
@@ -205,7 +205,7 @@
         request: route.request,
         queued: None,
         // The old process, which the request has arrived at, has reserved its memory.
-        memory: MemoryReservation::default(),
+        capacity: RequestCapacity::Reserved(MemoryReservation::default()),
     })))
 }
 
--- a/crates/asterdale-engine/src/access.rs
+++ b/crates/asterdale-engine/src/access.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use asterdale::parameters::Idempotency;
 use asterdale_identity::failpoint::{self, Failpoint};
 use asterdale_identity::{
     AccessRequest, Caller, ConcurrencyPermit, Credentials, DenialReason, DenialStatus,
@@ -52,23 +53,26 @@
         // reply must therefore state nothing about whether the request ran.
         let is_unable = denied.reason.status() == DenialStatus::Unavailable;
         let key = head.idempotency_key.as_ref();
-        if is_unable && self.is_repeat_of_any_tenant(key, credentials.received_ms) {
+        if is_unable && self.is_retained_for_any_tenant(key) {
             return Err(Reply::Failed);
         }
         Err(reply)
     }
 
-    /// Whether a task of any tenant is retained under this key.
-    fn is_repeat_of_any_tenant(&self, key: Option<&IdempotencyKey>, arrived_at: f64) -> bool {
+    /// Whether a task of any tenant is retained under this key, which is that of a keyed request.
+    fn is_retained_for_any_tenant(&self, key: Option<&IdempotencyKey>) -> bool {
         let (Some(key), Some(identity)) = (key, &self.identity_gate.identity) else {
             return false;
         };
+        if self.settings.decisions.classes[key.class].idempotency != Idempotency::Keyed {
+            return false;
+        }
         (0..identity.authorizer().tenant_count()).any(|tenant| {
             let key = IdempotencyKey {
                 tenant,
                 ..key.clone()
             };
-            self.idempotency.is_repeat(&key, arrived_at)
+            self.idempotency.is_retained(&key)
         })
     }
 
--- a/crates/asterdale-engine/src/counters.rs
+++ b/crates/asterdale-engine/src/counters.rs
@@ -97,7 +97,7 @@
     tasks_served,
     /// Requests that were served with the result of another attempt.
     tasks_joined,
-    /// Requests that were answered `Unknown`.
+    /// Requests that were answered `Unknown`: an attempt under their key may have run.
     tasks_unknown,
     /// Requests that were rejected before the policies saw them, as no ownership replica had capacity or they may have
     /// run. They are not among `tasks_taken`.
@@ -137,6 +137,12 @@
     /// Requests that were rejected by a bound: more open requests than a connection may carry, or more idempotency keys
     /// than are retained.
     requests_overloaded,
+    /// Those of `requests_overloaded` for which there was no place in the idempotency table.
+    idempotency_table_full,
+    /// Requests that were looked up in the idempotency table because there was no capacity for a new one.
+    requests_looked_up,
+    /// Those of `requests_looked_up` that repeated an earlier request, and for which there was no memory either.
+    repeats_over_memory,
     /// Requests that were rejected because there was no memory for them; they are not among `tasks_taken`.
     requests_over_memory,
     /// Incomplete requests and records that were dropped because all of them took too much memory; the requests among
--- a/crates/asterdale-engine/src/engine/admission.rs
+++ b/crates/asterdale-engine/src/engine/admission.rs
@@ -18,15 +18,15 @@
 const MAX_EDGE_NODES: usize = 4096;
 
 /// A received request, and what the engine determines about it before the policies decide.
-struct Arrived {
-    request: Request,
+pub(super) struct Arrived {
+    pub(super) request: Request,
     /// How long ago the edge node received it, in milliseconds.
     age_ms: f64,
     /// How long it was in this process's socket buffers before it was read, in milliseconds.
     unread_ms: f64,
     caller: Option<Arc<Caller>>,
     body_digest: u64,
-    is_repeat: bool,
+    pub(super) is_repeat: bool,
     #[cfg(feature = "ownership")]
     ownership: Option<OwnedTask>,
 }
@@ -147,7 +147,7 @@
             ownership: arrived.ownership,
             pending_call: None,
             last_command: None,
-            _memory: request.memory,
+            _memory: request.capacity.into_task_memory(),
         }
     }
 }
@@ -172,8 +172,11 @@
             return request.client.discard_request();
         }
         let mut arrived = Arrived::new(request);
-        if let Err(reply) = tasks.identify(&mut arrived) {
-            return arrived.request.answer(reply);
+        let identified = tasks
+            .identify(&mut arrived)
+            .and_then(|()| tasks.check_capacity(&arrived));
+        if let Err(reply) = identified {
+            return tasks.answer_refused(arrived.request, reply);
         }
         #[cfg(feature = "ownership")]
         {
@@ -186,7 +189,7 @@
         debug_assert!(!is_looked_up, "only the `ownership` feature has lookups");
         let quota_permit = match tasks.reserve(&arrived) {
             Ok(quota_permit) => quota_permit,
-            Err(reply) => return arrived.request.answer(reply),
+            Err(reply) => return tasks.answer_refused(arrived.request, reply),
         };
         self.hand_to_policies(arrived, quota_permit);
     }
--- a/crates/asterdale-engine/src/engine/mod.rs
+++ b/crates/asterdale-engine/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod cancellation;
 mod memory_watch;
 mod queued_events;
+mod refusal;
 mod settings;
 
 use std::collections::HashMap;
--- a/crates/asterdale-engine/src/idempotency.rs
+++ b/crates/asterdale-engine/src/idempotency.rs
@@ -133,6 +133,18 @@
             .is_some_and(|entry| arrived_at < entry.window_end)
     }
 
+    /// Whether a task is retained under this key, also after its window.
+    pub fn is_retained(&self, key: &IdempotencyKey) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    /// Whether a task other than this one is retained under this key, also after its window.
+    pub fn is_retained_by_other(&self, key: &IdempotencyKey, task: TaskId) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.owner != task)
+    }
+
     /// Retains a task. `fresh_ms` is set for reads, whose window starts when their result is there: until then every
     /// request with their key is a repeat. Returns the tasks that joined the entry that this one replaces; they have
     /// failed.
--- a/crates/asterdale-engine/src/memory/budget.rs
+++ b/crates/asterdale-engine/src/memory/budget.rs
@@ -13,25 +13,29 @@
 const MIN_DIVIDED_BYTES: usize = 2_000_000;
 
 /// Parts of the divided memory: cached results of requests.
-const RESULT_PARTS: usize = 8;
+const RESULT_PARTS: usize = 16;
 /// Parts of the divided memory: idempotency entries without their results.
-const IDEMPOTENCY_ENTRY_PARTS: usize = 3;
+const IDEMPOTENCY_ENTRY_PARTS: usize = 6;
 /// Parts of the divided memory: incomplete requests, and records that are longer than a connection's own buffer.
-const PARTIAL_REQUEST_PARTS: usize = 2;
+const PARTIAL_REQUEST_PARTS: usize = 4;
 /// Parts of the divided memory: connections, [`CONNECTION_BYTES`] each.
-const CONNECTION_PARTS: usize = 4;
+const CONNECTION_PARTS: usize = 8;
 /// Parts of the divided memory: complete requests from their last byte until their task is released and their reply is
 /// written.
-const OPEN_REQUEST_PARTS: usize = 4;
+const OPEN_REQUEST_PARTS: usize = 7;
+/// Parts of the divided memory: requests that are looked up in the idempotency table because there is no capacity for a
+/// new request, and the repeats found among them.
+const REPEAT_PARTS: usize = 1;
 /// Parts of the divided memory: what the runtime and the records service have sent and the engine has not handled.
-const LINK_PARTS: usize = 1;
+const LINK_PARTS: usize = 2;
 /// Parts of the divided memory: what the allocator keeps beyond the bytes in use.
-const ALLOCATOR_PARTS: usize = 4;
+const ALLOCATOR_PARTS: usize = 8;
 const ALL_PARTS: usize = RESULT_PARTS
     + IDEMPOTENCY_ENTRY_PARTS
     + PARTIAL_REQUEST_PARTS
     + CONNECTION_PARTS
     + OPEN_REQUEST_PARTS
+    + REPEAT_PARTS
     + LINK_PARTS
     + ALLOCATOR_PARTS;
 
@@ -56,6 +60,8 @@
     pub partial_requests: usize,
     /// Complete requests and their replies.
     pub open_requests: usize,
+    /// Lookups and repeats of requests beyond the above.
+    pub repeats: usize,
     /// Messages of the runtime and of the records service that the engine has not handled.
     pub links: usize,
     /// Cached results.
@@ -93,6 +99,7 @@
             connections: share(CONNECTION_PARTS),
             partial_requests: share(PARTIAL_REQUEST_PARTS),
             open_requests: share(OPEN_REQUEST_PARTS),
+            repeats: share(REPEAT_PARTS),
             links: share(LINK_PARTS),
             results: share(RESULT_PARTS),
             idempotency_entries: share(IDEMPOTENCY_ENTRY_PARTS),
@@ -107,6 +114,7 @@
             connections,
             partial_requests,
             open_requests,
+            repeats,
             links,
             results,
             idempotency_entries,
@@ -116,6 +124,7 @@
             + connections
             + partial_requests
             + open_requests
+            + repeats
             + links
             + results
             + idempotency_entries
--- a/crates/asterdale-engine/src/memory/mod.rs
+++ b/crates/asterdale-engine/src/memory/mod.rs
@@ -10,7 +10,7 @@
 pub use account::{ConnectionMemory, MemoryAccount, MemoryReservation};
 pub use budget::{LimitTooLow, MemoryBudget, CONNECTION_BYTES, TLS_CONNECTION_BYTES};
 pub use byte_semaphore::{BytePermit, ByteSemaphore};
-pub use request_cost::{request_bytes, MAX_REQUEST_BYTES, REPLY_BYTES};
+pub use request_cost::{lookup_bytes, repeat_bytes, request_bytes, MAX_REQUEST_BYTES, REPLY_BYTES};
 pub use retry_advice::spread_retry_after_ms;
 
 #[cfg(test)]
--- a/crates/asterdale-engine/src/memory/request_cost.rs
+++ b/crates/asterdale-engine/src/memory/request_cost.rs
@@ -24,3 +24,15 @@
     let commands = START_COMMANDS * (COMMAND_HEAD_BYTES + encoded_body);
     REQUEST_OVERHEAD_BYTES + body + other_parts + commands
 }
+
+/// The memory that a request takes while it is only looked up in the idempotency table, in bytes; the arguments are those
+/// of [`request_bytes`].
+pub const fn lookup_bytes(body: usize, other_parts: usize) -> usize {
+    REQUEST_OVERHEAD_BYTES + body + other_parts
+}
+
+/// The memory that a repeat takes until its reply is written, in bytes; the arguments are those of [`request_bytes`]. It
+/// is never started, so there are no commands.
+pub const fn repeat_bytes(body: usize, other_parts: usize) -> usize {
+    REQUEST_OVERHEAD_BYTES + body + other_parts + REPLY_BYTES
+}
--- a/crates/asterdale-engine/src/memory/tests.rs
+++ b/crates/asterdale-engine/src/memory/tests.rs
@@ -38,7 +38,10 @@
 
 #[test]
 fn a_reservation_is_released_with_its_last_part() {
-    let account = MemoryAccount::new(1000);
+    let account = MemoryAccount::new(&MemoryBudget {
+        open_requests: 1000,
+        ..MemoryBudget::default()
+    });
     let connection = ConnectionMemory::new(account.clone());
     let mut reservation = connection.reserve(900).unwrap();
     let part = reservation.split_off(300);
@@ -60,7 +63,7 @@
 #[test]
 fn an_open_connection_without_requests_always_has_room_for_one() {
     let budget = MemoryBudget::new(32 * MB, 0).unwrap();
-    let account = MemoryAccount::new(budget.open_requests);
+    let account = MemoryAccount::new(&budget);
     let connections: Vec<_> = (0..budget.connections / CONNECTION_BYTES)
         .map(|_| ConnectionMemory::new(account.clone()))
         .collect();
@@ -78,3 +81,27 @@
     drop(reservations);
     assert_eq!(account.used(), 0);
 }
+
+/// Guards against new requests that take the memory in which repeats of earlier ones get their results.
+#[test]
+fn repeats_have_room_while_new_requests_take_all_of_theirs() {
+    let budget = MemoryBudget::new(32 * MB, 0).unwrap();
+    let account = MemoryAccount::new(&budget);
+    let connection = ConnectionMemory::new(account.clone());
+    let mut reservations: Vec<_> =
+        std::iter::from_fn(|| connection.reserve(MAX_REQUEST_BYTES)).collect();
+    let repeats: Vec<_> =
+        std::iter::from_fn(|| connection.reserve_for_repeat(MAX_REQUEST_BYTES)).collect();
+    assert!(repeats.len() > 20, "{}", repeats.len());
+    assert!(account.used() <= budget.open_requests + budget.repeats);
+    reservations.extend(repeats);
+    let mut merged = MemoryReservation::default();
+    reservations.into_iter().for_each(|part| merged.merge(part));
+    assert_eq!(merged.bytes(), account.used());
+    // What is released belongs to the share that it was taken from.
+    merged.shrink_to(MAX_REQUEST_BYTES);
+    assert!(connection.reserve_for_repeat(MAX_REQUEST_BYTES).is_some());
+    assert!(connection.reserve(MAX_REQUEST_BYTES).is_some());
+    drop(merged);
+    assert_eq!(account.used(), 0);
+}
--- a/crates/asterdale-engine/src/message/request.rs
+++ b/crates/asterdale-engine/src/message/request.rs
@@ -6,8 +6,9 @@
 pub use asterdale_identity::Certificate;
 use asterdale_identity::DenialStatus;
 
+use super::capacity::RequestCapacity;
 use crate::counters::{Counters, GaugePart};
-use crate::memory::MemoryReservation;
+use crate::memory::repeat_bytes;
 
 /// A request's id as edge nodes write it: 16 hexadecimal digits.
 pub type RequestId = [u8; 16];
@@ -103,8 +104,8 @@
     pub request: u16,
     /// The earliest time at which it can have arrived: everything that arrived earlier had been read by then.
     pub received_at: Instant,
-    /// The memory of this request and of its task.
-    pub memory: MemoryReservation,
+    /// Whether it may become a task of its own.
+    pub capacity: RequestCapacity,
     /// Counts it as queued until the engine has made a task of it; `None` if another process has forwarded it.
     pub queued: Option<GaugePart>,
 }
@@ -117,12 +118,16 @@
         token: Option<&[u8]>,
         body: &Vec<u8>,
     ) -> GaugePart {
-        let key = head.idempotency_key.as_ref();
-        let parts = key.map_or(0, |key| key.bytes.len()) + token.map_or(0, <[u8]>::len);
-        let bytes = size_of::<Request>() + body.capacity() + parts;
+        let bytes = size_of::<Request>() + body.capacity() + other_parts_bytes(head, token);
         GaugePart::new(counters, |counters| &counters.memory_queued_requests, bytes)
     }
 
+    /// The memory that it takes as a repeat of an earlier request, in bytes.
+    pub fn repeat_bytes(&self) -> usize {
+        let other_parts = other_parts_bytes(&self.head, self.token.as_deref());
+        repeat_bytes(self.body.len(), other_parts)
+    }
+
     /// The route of its response.
     pub fn route(&self) -> ResponseRoute {
         ResponseRoute {
@@ -137,6 +142,12 @@
     }
 }
 
+/// The length of the parts of a request beside its body, in bytes.
+pub fn other_parts_bytes(head: &RequestHead, token: Option<&[u8]>) -> usize {
+    let key = head.idempotency_key.as_ref();
+    key.map_or(0, |key| key.bytes.len()) + token.map_or(0, <[u8]>::len)
+}
+
 /// The single reply to a request. A frontend encodes it in its protocol.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -174,6 +185,36 @@
     },
 }
 
+impl Reply {
+    /// Whether it states that the request never ran.
+    pub fn claims_never_ran(&self) -> bool {
+        match self {
+            Reply::Rejected { .. } | Reply::Overloaded => true,
+            Reply::Denied { kind, .. } => matches!(
+                kind,
+                DenialStatus::QuotaExceeded | DenialStatus::Unavailable
+            ),
+            _ => false,
+        }
+    }
+
+    /// The reply with the same retry advice that does not state that the request never ran.
+    #[must_use]
+    pub fn without_claim(self) -> Reply {
+        let retry_after_ms = match &self {
+            Reply::Rejected { retry_after_ms, .. } | Reply::Denied { retry_after_ms, .. } => {
+                *retry_after_ms
+            }
+            _ => 0,
+        };
+        if self.claims_never_ran() {
+            Reply::Unknown { retry_after_ms }
+        } else {
+            self
+        }
+    }
+}
+
 /// One connection of a frontend, shared by everything that has to answer one of its requests.
 pub trait Connection: Send + Sync {
     /// Its number, unique within this process whatever the frontend.
@@ -182,6 +223,11 @@
     fn answer(self: Arc<Self>, request: u16, reply: Reply);
     /// Notes that a request will get no reply of its own.
     fn discard_request(&self);
+    /// Reserves memory for a request that repeats an earlier one, until its reply is written. Returns `false` if there is
+    /// none. Used only for requests without [`RequestCapacity::Reserved`].
+    fn reserve_for_repeat(&self, _bytes: usize) -> bool {
+        false
+    }
 }
 
 /// Answers one request. Whoever holds it must make sure that the request is answered.
--- a/crates/asterdale-engine/src/ownership/lookup.rs
+++ b/crates/asterdale-engine/src/ownership/lookup.rs
@@ -60,7 +60,7 @@
             return request.client.discard_request();
         }
         if self.ownership.pending.len() >= MAX_PENDING_REQUESTS {
-            return request.answer(self.reject_for_full_table());
+            return self.answer_refused(request, self.reject_for_full_table());
         }
         let Some(idempotency_key) = request.head.idempotency_key.clone() else {
             return;
@@ -159,7 +159,7 @@
         );
         if is_known && !lock_is_ignored(verdict) {
             if tasks.idempotency.is_full() {
-                return request.answer(tasks.reject_for_full_table());
+                return tasks.answer_refused(request, tasks.reject_for_full_table());
             }
             tasks.record_remote_run(&request, idempotency_key, key, answer);
             return self.receive_looked_up(request);
@@ -171,7 +171,7 @@
                 } else {
                     tasks.counters.tasks_ownership_rejected.add();
                 }
-                request.answer(reply);
+                tasks.answer_refused(request, reply);
             }
             _ => self.receive_looked_up(request),
         }
--- a/crates/asterdale-engine/src/state_transfer/standby.rs
+++ b/crates/asterdale-engine/src/state_transfer/standby.rs
@@ -18,6 +18,7 @@
 impl Engine {
     /// Forwards a message to the new process. Returns a message that this process must handle itself.
     pub(crate) fn forward_to_successor(&mut self, message: EngineMessage) -> Option<EngineMessage> {
+        let message = self.answer_request_without_capacity(message)?;
         let Some(Standby {
             forwarded,
             successor: Some(successor),
@@ -69,6 +70,22 @@
         None
     }
 
+    /// Answers a request for which there was no capacity, which is not forwarded because it must not become a task.
+    /// Which keys are retained is known to the other process alone, so the reply does not state that it never ran.
+    fn answer_request_without_capacity(&self, message: EngineMessage) -> Option<EngineMessage> {
+        let EngineMessage::Request(request) = message else {
+            return Some(message);
+        };
+        let Some(shortage) = request.capacity.shortage() else {
+            return Some(EngineMessage::Request(request));
+        };
+        let max_retry_after_ms = self.tasks.settings.decisions.max_retry_after_ms;
+        let refusal = shortage.refuse(&self.tasks.counters, max_retry_after_ms);
+        self.tasks.counters.tasks_unknown.add();
+        request.answer(refusal.without_claim());
+        None
+    }
+
     /// Defers a message until it is decided which process has the work.
     fn defer(&mut self, message: EngineMessage) -> Option<EngineMessage> {
         if matches!(message, EngineMessage::HotRestart(_)) {
--- a/crates/asterdale-engine/src/state_transfer/tests.rs
+++ b/crates/asterdale-engine/src/state_transfer/tests.rs
@@ -136,7 +136,7 @@
         fleet: None,
         #[cfg(feature = "ownership")]
         ownership: None,
-        request_memory: MemoryAccount::new(memory.open_requests),
+        request_memory: MemoryAccount::new(&memory),
         counters,
         log,
     };
--- a/crates/asterdale-engine/src/tasks/actions.rs
+++ b/crates/asterdale-engine/src/tasks/actions.rs
@@ -242,10 +242,15 @@
         if self.hand_off(task, is_final, retry_after_ms) {
             return;
         }
-        let reply = Reply::Rejected {
+        let Some(record) = self.task(task) else {
+            return;
+        };
+        let refusal = Reply::Rejected {
             is_final,
             retry_after_ms: retry_after_ms as u64,
         };
+        let key = record.idempotency_key.as_ref();
+        let reply = self.refuse_task(record.class, key, record.number, refusal);
         if self.answer(task, reply) {
             self.counters.tasks_rejected.add();
         }
--- a/crates/asterdale-engine/src/tasks/table.rs
+++ b/crates/asterdale-engine/src/tasks/table.rs
@@ -147,6 +147,7 @@
     pub fn reject_for_full_table(&self) -> Reply {
         let rejected = &self.counters.requests_overloaded;
         rejected.add();
+        self.counters.idempotency_table_full.add();
         let max_ms = self.settings.decisions.max_retry_after_ms;
         Reply::Rejected {
             is_final: false,
--- a/crates/asterdale-fastcgi/src/lib.rs
+++ b/crates/asterdale-fastcgi/src/lib.rs
@@ -10,7 +10,7 @@
 pub use error::{ProtocolError, RequestFault};
 pub use params::Params;
 pub use record_reader::{Record, RecordReader, DEFAULT_BUFFER_BYTES};
-pub use request_assembler::{AssemblyEvent, CompleteRequest, RequestAssembler};
+pub use request_assembler::{AssemblyEvent, CompleteRequest, DroppedRequest, RequestAssembler};
 pub use response::{end_request_response, unknown_type_response, values_response, Response};
 
 /// Record types, by their number in the specification.
--- a/crates/asterdale-fastcgi/src/request_assembler.rs
+++ b/crates/asterdale-fastcgi/src/request_assembler.rs
@@ -29,6 +29,13 @@
     pub keep_connection: bool,
 }
 
+/// A request that was dropped before it was complete.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DroppedRequest {
+    /// Its encoded parameters, if all of them had been received.
+    pub params: Option<Vec<u8>>,
+}
+
 struct PendingRequest {
     request: CompleteRequest,
     params_complete: bool,
@@ -54,6 +61,8 @@
     Abort(u16),
     /// The caller must send END_REQUEST for this id with this protocol status now.
     EndRequest(u16, u8),
+    /// The caller did not accept this request. The rest of its records will be ignored; the caller must answer it now.
+    NotAccepted(u16),
     /// This request can't be accepted. It is dropped, and the rest of its records will be ignored; the caller must
     /// answer it now.
     Rejected(u16, RequestFault),
@@ -82,7 +91,7 @@
         self.pending_bytes + self.pending.len() * PENDING_REQUEST_BYTES
     }
 
-    /// Handles the next record. A new request is answered as overloaded unless `accepts_request`.
+    /// Handles the next record. A new request is dropped unless `accepts_request`.
     pub fn handle_record(&mut self, record: Record<'_>, accepts_request: bool) -> AssemblyEvent {
         let Record {
             record_type,
@@ -114,8 +123,7 @@
             return AssemblyEvent::EndRequest(request_id, status);
         }
         if !accepts_request {
-            let status = protocol_status::OVERLOADED;
-            return AssemblyEvent::EndRequest(request_id, status);
+            return AssemblyEvent::NotAccepted(request_id);
         }
         let request = CompleteRequest {
             keep_connection: flags & FLAG_KEEP_CONNECTION != 0,
@@ -206,9 +214,13 @@
             .max_by_key(|&(id, length)| (length, Some(id) == preferred))
     }
 
-    /// Drops an incomplete request; the rest of its records will be ignored. Returns whether there was one.
-    pub fn drop_pending(&mut self, request_id: u16) -> bool {
-        self.remove(request_id).is_some()
+    /// Drops an incomplete request; the rest of its records will be ignored. `None` if there is none of this id.
+    pub fn drop_pending(&mut self, request_id: u16) -> Option<DroppedRequest> {
+        let has_all_params = self.pending.get(&request_id)?.params_complete;
+        let request = self.remove(request_id)?;
+        Some(DroppedRequest {
+            params: has_all_params.then_some(request.params),
+        })
     }
 
     fn remove(&mut self, request_id: u16) -> Option<CompleteRequest> {
