A reset connection is read no further, and ids of side-effecting runs are remembered

What clients of other deployments saw: a client closed its connection with much still unread, and its requests were passed on afterwards; an id ran twice when it came again after its client had left. Both show here.

Cause of the first: after a reset the system still hands out what had arrived, and the event loop read it before it looked at the error. It handles the error that the poll reports first now. A client that only ends its writing side can't be told from one that waits for its answers, so what it sent before is still served.

Cause of the second: an id is known while its task is open. A keyed request is recognized by its key afterwards; one of a side-effecting class has none, and was started again.

--- a/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
+++ b/crates/asterdale-daemon/src/frontend/event_loop/mod.rs
@@ -164,11 +164,25 @@
             match event.token() {
                 MAILBOX => {}
                 LISTENER => self.listener.iter_mut().for_each(Listener::set_ready),
+                Token(number) if event.is_error() => self.handle_reset(number as u64),
                 Token(number) => self.handle_readiness(number as u64, event.is_writable()),
             }
         }
     }
 
+    /// Handles a connection that its client has reset. What had arrived before and is unread is discarded: nobody waits
+    /// for it, and the client may send it again elsewhere.
+    fn handle_reset(&mut self, number: u64) {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        if connection.is_reading() {
+            self.abort(number, EndReason::Broken);
+        } else {
+            self.linger(number, Instant::now());
+        }
+    }
+
     /// Handles a connection that has input, or whose socket accepts bytes again.
     fn handle_readiness(&mut self, number: u64, is_writable: bool) {
         let Some(connection) = self.connections.get_mut(&number) else {
--- a/crates/asterdale-daemon/src/frontend/tests/endings.rs
+++ b/crates/asterdale-daemon/src/frontend/tests/endings.rs
@@ -1,5 +1,6 @@
 //! How connections end that fail or whose clients stop, and how a full mailbox delays reading.
 
+use std::io::Write;
 use std::sync::Arc;
 
 use asterdale_engine::message::{Connection, EngineMessage, Reply};
@@ -33,7 +34,6 @@
 /// Guards against requests that are lost while the engine takes none: reading waits for it.
 #[test]
 fn a_full_mailbox_delays_requests_and_loses_none() {
-    use std::io::Write;
     const REQUESTS: u8 = 30;
     let frontend = TestFrontend::start(&start_file(), 1);
     let mut client = frontend.connect();
@@ -48,7 +48,6 @@
 /// Guards against a client that reads nothing and keeps its connection for ever: the engine is told that nobody waits.
 #[test]
 fn a_client_that_reads_no_replies_loses_its_connection_after_the_longest_deadline() {
-    use std::io::Write;
     let frontend = TestFrontend::start(&start_file(), 1);
     let mut client = frontend.connect();
     let reply: Arc<[u8]> = [7; 60_000].into();
@@ -105,3 +104,35 @@
     });
     assert!(peer.has_write_failed());
 }
+
+/// Guards against requests that are passed to the engine after their client has reset its connection: the system still
+/// hands out what had arrived before.
+#[test]
+fn requests_that_are_unread_when_their_client_resets_its_connection_are_discarded() {
+    const OTHER_REQUESTS: u8 = 4;
+    let frontend = TestFrontend::start(&start_file(), 1);
+    let mut client = frontend.connect();
+    client.write_all(&health_check(1)).unwrap();
+    let EngineMessage::HealthCheck { client: peer, .. } = frontend.next_message() else {
+        panic!("not a health check")
+    };
+    peer.answer(1, Reply::Malformed);
+    client.peek(&mut [0]).unwrap();
+    // The event loop has read these at once when the mailbox is full, and then waits for the engine.
+    let mut other = frontend.connect();
+    let checks: Vec<u8> = (1..=OTHER_REQUESTS).flat_map(health_check).collect();
+    other.write_all(&checks).unwrap();
+    wait_until("a full mailbox", || frontend.mailbox.is_full());
+    (2..=30).for_each(|number| client.write_all(&health_check(number)).unwrap());
+    // Closing a socket with an unread reply resets the connection.
+    drop(client);
+
+    let mut passed = 0;
+    while !matches!(frontend.next_message(), EngineMessage::ConnectionClosed(1)) {
+        passed += 1;
+    }
+    assert_eq!(passed, OTHER_REQUESTS);
+    wait_until("the end of the connection", || {
+        frontend.counters.connections_broken.get() == 1
+    });
+}
--- a/crates/asterdale-engine/src/engine/admission.rs
+++ b/crates/asterdale-engine/src/engine/admission.rs
@@ -72,7 +72,8 @@
             received_ms: self.now - arrived.unread_ms,
         };
         arrived.caller = self.authenticate(credentials, &mut request.head)?;
-        if self.by_id.contains_key(&request.head.id) {
+        let id = &request.head.id;
+        if self.by_id.contains_key(id) || self.started_ids.contains(id) {
             self.counters.tasks_malformed.add();
             return Err(Reply::Malformed);
         }
--- a/crates/asterdale-engine/src/tasks/actions.rs
+++ b/crates/asterdale-engine/src/tasks/actions.rs
@@ -25,8 +25,11 @@
             return;
         };
         record.started = true;
-        let (line, class) = (record.start_line(&settings), record.class);
+        let (id, line, class) = (record.id, record.start_line(&settings), record.class);
         let idempotent = self.is_idempotent(class);
+        if settings.decisions.classes[class].idempotency == Idempotency::NonIdempotent {
+            self.started_ids.add(id);
+        }
         #[cfg(feature = "hot-restart")]
         if !idempotent {
             self.mirror_start(task);
--- a/crates/asterdale-engine/src/tasks/mod.rs
+++ b/crates/asterdale-engine/src/tasks/mod.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod completion;
 mod link;
+mod recent_ids;
 mod record;
 mod table;
 
--- a/crates/asterdale-engine/src/tasks/table.rs
+++ b/crates/asterdale-engine/src/tasks/table.rs
@@ -7,6 +7,7 @@
 use asterdale_parameters::Settings;
 
 use super::link::RuntimeLink;
+use super::recent_ids::RecentIds;
 use super::record::{LogFields, TaskRecord};
 use crate::counters::Counters;
 use crate::idempotency::IdempotencyTable;
@@ -59,6 +60,8 @@
     pub by_number: HashMap<TaskId, Handle>,
     /// Handles of the tasks that are not answered, by route.
     pub by_route: HashMap<ResponseRoute, Handle>,
+    /// Ids of side-effecting requests that were started, also of those that are released.
+    pub started_ids: RecentIds,
     /// The last task number that was assigned.
     pub last_number: TaskId,
     /// The task that is being received, until the policies give it a handle.
@@ -108,6 +111,7 @@
             next_tick_at: f64::INFINITY,
             slots: Vec::new(),
             by_id: HashMap::new(),
+            started_ids: RecentIds::default(),
             by_number: HashMap::new(),
             by_route: HashMap::new(),
             last_number: 0,
