Tests: repeats under a quota, with a full table, and in the queue

The paths that refuse new requests have a test each in which a key that has run or is running meets them: a quota of its caller, a full idempotency table, a queue that its first attempt waits in.

--- a/crates/asterdale-daemon/tests/hostile_clients.rs
+++ b/crates/asterdale-daemon/tests/hostile_clients.rs
@@ -272,8 +272,7 @@
         edge.send_task(1, class, ID, &fields);
         assert_eq!(backend.runtime.expect_command("start")["rid"], ID);
         drop(edge);
-        backend
-            .counters_until(|count| count("connections_open") == 0 || count("tasks_aborted") == 1);
+        backend.counters_until(|count| count("connections_finished") == 1);
         // It runs.
         let mut again = backend.connect();
         again.send_task(1, class, ID, &fields);
--- a/crates/asterdale-daemon/tests/identity.rs
+++ b/crates/asterdale-daemon/tests/identity.rs
@@ -253,6 +253,46 @@
     assert_eq!(backend.runtime.try_next_command(), None);
 }
 
+/// Guards against 429, which states that a request never ran, for a repeat of one that ran or runs.
+#[test]
+fn repeats_get_their_result_or_join_their_run_while_the_quota_of_their_caller_is_used_up() {
+    let issuer = Issuer::start().unwrap();
+    issuer.publish(1, key_set(1, json!({})));
+    let backend = start_backend(&issuer, |config| {
+        config["identity"]["roles"][0]["open"] = json!(1);
+        config["identity"]["roles"][0]["per_s"] = json!(0.001);
+        config["identity"]["roles"][0]["burst"] = json!(2);
+    });
+    backend.runtime.set_ready();
+    backend.counters_until(|count| count("keys_adopted") == 1 && count("links") == 1);
+    let mut edge = backend.connect();
+    let caller = default_token(2, "north");
+    let served = [authorization(&caller), KEY];
+    let running = [authorization(&caller), ("HTTP_IDEMPOTENCY_KEY", "runs")];
+    let new = [authorization(&caller), ("HTTP_IDEMPOTENCY_KEY", "new")];
+    edge.send_task(1, "bid", ID_A, &served);
+    backend.runtime.expect_command("start");
+    backend.runtime.send_run_end(ID_A, "PASS", b"sold");
+    assert_eq!(edge.expect_status(1), "200");
+    edge.send_task(2, "bid", ID_B, &running);
+    backend.runtime.expect_command("start");
+
+    let answer = request(&mut edge, 3, "bid", ID_C, &new);
+    assert_eq!(denied(&answer), ("429", "over"));
+    assert_eq!(request(&mut edge, 4, "bid", ID_C, &served).body, b"sold");
+    edge.send_task(5, "bid", ID_C, &running);
+    backend.counters_until(|count| count("tasks_open") == 2);
+    backend.runtime.send_run_end(ID_B, "PASS", b"sold");
+    for _ in 0..2 {
+        assert_eq!(edge.read_response().unwrap().status(), "200");
+    }
+    // Both places are free again; the rate is not.
+    let answer = request(&mut edge, 6, "bid", ID_C, &new);
+    assert_eq!(denied(&answer), ("429", "over"));
+    assert_eq!(request(&mut edge, 7, "bid", ID_C, &served).body, b"sold");
+    assert_eq!(backend.runtime.try_next_command(), None);
+}
+
 #[test]
 fn a_retry_gets_its_result_with_a_new_token_and_another_tenant_does_not() {
     let (issuer, backend) = start_issuer_and_backend();
--- a/crates/asterdale-daemon/tests/memory.rs
+++ b/crates/asterdale-daemon/tests/memory.rs
@@ -50,7 +50,17 @@
     assert!(rejection.head.contains("Retry-After-Ms: "), "{rejection:?}");
     assert!(served > 100, "{served}");
     assert_eq!(backend.runtime.try_next_command(), None);
+    // A repeat needs no entry of its own, so it is not rejected.
+    let first_key = [("HTTP_IDEMPOTENCY_KEY", "key-0")];
+    edge.send_task(1, "bid", "00000000000000aa", &first_key);
+    let repeat = response_while_runs_pass(&backend, &mut edge);
+    assert_eq!(
+        (repeat.status(), repeat.body.as_slice()),
+        ("200", &b"done"[..])
+    );
     backend.counters_until(|count| {
-        count("requests_overloaded") == 1 && count("runs_started") == served as u64
+        count("requests_overloaded") == 1
+            && count("idempotency_table_full") == 1
+            && count("runs_started") == served as u64
     });
 }
--- a/crates/asterdale-daemon/tests/refusals.rs
+++ b/crates/asterdale-daemon/tests/refusals.rs
@@ -1,6 +1,8 @@
 //! What a request gets whose key has run or is running, on each path that refuses new requests. A refusal (503, 429,
 //! OVERLOADED) states that the request never ran, and its client may send it to another process, where it runs again.
 
+use std::time::Duration;
+
 use asterdale_testkit::scripted::{
     counter, record, request, task_fields, unix_ms_text, wait_until, Backend, EdgeConnection,
     Response,
@@ -227,3 +229,43 @@
     assert_nothing_keyed_is_started(&backend);
     assert!(backend.wait_for_exit().0.success());
 }
+
+/// Guards against a refusal of a repeat whose first attempt waits in the queue.
+#[test]
+fn a_repeat_of_a_queued_request_waits_for_its_run() {
+    let backend = Backend::start_before_runtime(|start| {
+        start["settings"]["extra"]["cores"] = json!(1);
+    });
+    backend.runtime.set_ready();
+    let mut edge = backend.connect();
+    // The runtime ends none of these, so the last one of them is queued.
+    let mut queued = 0;
+    for number in 1..=MAX_OPEN_REQUESTS / 2 {
+        let id = format!("{number:016x}");
+        send_keyed(&mut edge, number, &id, &id);
+        queued = number;
+    }
+    backend.counters_until(|count| {
+        count("tasks_taken") == u64::from(queued) && count("runs_started") < u64::from(queued)
+    });
+    let key = format!("{queued:016x}");
+    send_keyed(&mut edge, queued + 1, "00000000000000c1", &key);
+    backend.counters_until(|count| count("tasks_taken") == u64::from(queued) + 1);
+    // Every run ends as soon as it starts, until the queue is empty.
+    let mut answered = 0;
+    while answered < queued + 1 {
+        while let Some(command) = backend.runtime.try_next_command() {
+            let id = command["rid"].as_str().unwrap();
+            assert_ne!(id, "00000000000000c1");
+            backend.runtime.send_run_end(id, "PASS", RESULT);
+        }
+        edge.stream
+            .set_read_timeout(Some(Duration::from_millis(1)))
+            .unwrap();
+        if let Ok(response) = edge.try_read_response() {
+            let response = response.expect("the connection ended");
+            assert_eq!(response.status(), "200", "{response:?}");
+            answered += 1;
+        }
+    }
+}
