--- a/crates/asterdale-engine/src/state_transfer/tests.rs
+++ b/crates/asterdale-engine/src/state_transfer/tests.rs
@@ -6,9 +6,10 @@
 use asterdale_identity::mint::SecretKey;
 use asterdale_identity::{Identity, Role, Tenant};
 use asterdale_parameters::Settings;
-use crossbeam_channel::unbounded;
+use crossbeam_channel::{unbounded, Sender};
 use serde_json::{json, Value};
 use std::sync::Arc;
+use std::time::Instant;
 
 use super::check_state;
 use super::format::TransferredState;
@@ -18,7 +19,8 @@
 use crate::log::Log;
 use crate::memory::{ByteSemaphore, MemoryAccount, MemoryBudget};
 use crate::message::{
-    Connection, Endpoints, Frontends, IdempotencyKey, Reply, RequestId, ResponseRoute, TaskId,
+    Connection, Endpoints, EngineMessage, Frontends, IdempotencyKey, Reply, Request,
+    RequestCapacity, RequestHead, RequestId, ResponseRoute, Shortage, TaskId,
 };
 use crate::tasks::{PendingCall, TaskRecord};
 use crate::{mailbox, records};
@@ -412,3 +414,55 @@
         ["bytes", "last", "revoked"]
     );
 }
+
+/// A connection that passes on its replies.
+struct RecordingConnection(Sender<Reply>);
+
+impl Connection for RecordingConnection {
+    fn connection_id(&self) -> u64 {
+        1
+    }
+    fn answer(self: Arc<Self>, _: u16, reply: Reply) {
+        self.0.send(reply).unwrap();
+    }
+    fn discard_request(&self) {}
+}
+
+/// Guards against a request without capacity that becomes a task of the new process, or is refused although the keys are
+/// known to that process alone.
+#[test]
+fn a_request_without_capacity_is_neither_forwarded_nor_refused_while_the_engine_is_paused() {
+    let mut engine = restored(STATE);
+    engine.paused.is_frozen = true;
+    let (replies, received) = unbounded();
+    let lookups = ByteSemaphore::new(1);
+    let request = Request {
+        head: RequestHead {
+            id: id(99),
+            class: 1,
+            start_ms: START_MS,
+            tenant: 0,
+            edge_node: 1,
+            timeout_ms: None,
+            cost_hint_ms: None,
+            memory_kb: 1.0,
+            idempotency_key: Some(key(b"key")),
+        },
+        token: None,
+        certificate: None,
+        body: Vec::new(),
+        client: Arc::new(RecordingConnection(replies)),
+        request: 1,
+        received_at: Instant::now(),
+        capacity: RequestCapacity::RepeatOnly {
+            shortage: Shortage::Memory,
+            lookup: lookups.acquire(1),
+        },
+        queued: None,
+    };
+    let message = EngineMessage::Request(Box::new(request));
+    assert!(engine.forward_to_successor(message).is_none());
+    assert!(matches!(received.try_recv(), Ok(Reply::Unknown { .. })));
+    assert!(engine.paused.deferred.is_empty());
+    assert_eq!(lookups.used(), 0);
+}
